--- a/crates/carawayd/src/dev.rs
+++ b/crates/carawayd/src/dev.rs
@@ -7,7 +7,7 @@
 use decide::call::{Patch, PatchOutcome};
 use eyre::{WrapErr, bail, eyre};
 use host::settings::{ControlHost, LogSettings, Secret};
-use host::{Daemon, HostSettings, Running, logs};
+use host::{Daemon, HostSettings, Postgres, Running, logs};
 use jsonrpsee::http_client::HttpClient;
 use model::config::Change;
 use model::{KeyDigest, Role};
@@ -44,7 +44,7 @@
         .build()?;
     runtime.block_on(async {
         let folder = tempfile::tempdir().wrap_err("no folder for the control state")?;
-        let running = Daemon::start(settings(options, folder.path())?).await?;
+        let running = Daemon::start::<Postgres>(settings(options, folder.path())?).await?;
         let group = start_group(running.api).await?;
         let served = tokio::select! {
             served = prepare(&running) => served.map(|()| true),
--- a/crates/carawayd/src/run.rs
+++ b/crates/carawayd/src/run.rs
@@ -4,8 +4,10 @@
 use std::process::ExitCode;
 
 use eyre::WrapErr;
+use host::settings::ProtocolKind;
 use host::settings_file::{self, BadSettings};
-use host::{Daemon, HostSettings, logs};
+use host::{Daemon, HostSettings, Postgres, logs};
+use platform::Platform;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::BAD_SETTINGS;
@@ -69,7 +71,10 @@
         .build()
         .wrap_err("the runtime can't be started")?;
     runtime.block_on(async {
-        let running = Daemon::start(cfg).await?;
+        let running = match cfg.protocol {
+            ProtocolKind::Postgres => Daemon::start::<Postgres>(cfg).await?,
+            ProtocolKind::Platform => Daemon::start::<Platform>(cfg).await?,
+        };
         println!(
             "listening callers={} peers={} api={} metrics={}",
             running.callers, running.peers, running.api, running.metrics
--- a/crates/decide/benches/spread.rs
+++ b/crates/decide/benches/spread.rs
@@ -120,6 +120,10 @@
         slots: 3,
         connections: 50,
         sequence: 1,
+        incarnation: 0,
+        role: None,
+        warming: false,
+        draining: false,
         leaving: false,
     }
 }
--- a/crates/decide/src/ask.rs
+++ b/crates/decide/src/ask.rs
@@ -42,6 +42,13 @@
         /// Who leads the change.
         candidate: HostId,
     },
+    /// Stops a replica from receiving until it is told to go on, or has another primary.
+    Pause {
+        /// A term above all that are known.
+        term: Term,
+    },
+    /// Lets a replica receive again.
+    Resume,
     /// Makes the upstream follow the primary of a term.
     Follow {
         /// The term.
@@ -60,6 +67,8 @@
     pub status: InstanceStatus,
     /// Whether it did what was asked.
     pub granted: bool,
+    /// The term for which it has stopped receiving, or 0.
+    pub held: Term,
     /// The share of its capacity that this host holds.
     pub claim: Option<Claim>,
 }
--- a/crates/decide/src/call.rs
+++ b/crates/decide/src/call.rs
@@ -1,7 +1,8 @@
 //! Calls of operators and of the platform, and the replies to them.
 
-use model::config::{BadChange, Change};
-use model::{Announcement, Config, ConfigVersion, HostId, PatchId};
+use bytes::Bytes;
+use model::config::{BadChange, Change, Replacement};
+use model::{Announcement, Config, ConfigVersion, HostId, PatchId, UpstreamId};
 use serde::{Deserialize, Serialize};
 
 use crate::view::FleetStatus;
@@ -11,8 +12,12 @@
 pub enum Call {
     /// Applies changes on top of a numbered configuration.
     Patch(Patch),
+    /// Replaces the whole configuration, unless one of this version or a higher one is held.
+    Replace(Box<Replacement>),
     /// Asks for the configuration, confirmed by a quorum.
     Config,
+    /// Asks for the last document that replaced the configuration, confirmed by a quorum.
+    Document,
     /// Asks for the accepted patches after a version.
     History {
         /// The version to start after.
@@ -22,6 +27,8 @@
     Status,
     /// Announces or renews an upstream.
     Announce(Announcement),
+    /// Withdraws the announcement of an upstream that is gone.
+    Withdraw(UpstreamId),
     /// Adds a voter as a learner, and as a voter once it has caught up.
     AddVoter {
         /// The voter's host.
@@ -63,8 +70,12 @@
 pub enum Reply {
     /// The outcome of a patch.
     Patched(PatchOutcome),
+    /// The replacement is held, or one of the same or a higher version; this is the version.
+    Replaced(ConfigVersion),
     /// The configuration in force, confirmed by a quorum.
     Config(Config),
+    /// The last document that replaced the configuration, if any did.
+    Document(Option<Bytes>),
     /// Accepted patches with the versions that they made.
     History(Vec<(ConfigVersion, Patch)>),
     /// What this host knows of the fleet.
--- a/crates/decide/src/caller.rs
+++ b/crates/decide/src/caller.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use model::{Position, Request, RequestId, ServiceId, SessionId, WorkspaceId};
+use model::{Position, Request, RequestId, RouteId, ServiceId, SessionId, WorkspaceId};
 
 /// Something that a caller did.
 #[derive(Clone, Debug)]
@@ -35,9 +35,11 @@
 pub struct Login {
     /// The workspace, or none on an open route.
     pub workspace: Option<WorkspaceId>,
-    /// The service that it wants to reach.
+    /// The service that it wants to reach; a route, where one is named, decides instead.
     pub service: ServiceId,
-    /// The key in the form `keyid.secret`.
+    /// The route that it wants to use.
+    pub route: Option<RouteId>,
+    /// The key in the form `keyid.secret`, or its secret alone on a route.
     pub password: Arc<str>,
     /// The position that the caller brings from an earlier session.
     pub token: Option<Position>,
@@ -48,6 +50,7 @@
         f.debug_struct("Login")
             .field("workspace", &self.workspace)
             .field("service", &self.service)
+            .field("route", &self.route)
             .field("token", &self.token)
             .finish_non_exhaustive()
     }
--- a/crates/decide/src/commit.rs
+++ b/crates/decide/src/commit.rs
@@ -168,6 +168,7 @@
             cx.emit(Effect::Ask {
                 id: self.last,
                 upstream: request.upstream,
+                service: service.clone(),
                 addr: request.addr,
                 ask: request.ask,
                 fresh: request.fresh,
--- a/crates/decide/src/commit_group.rs
+++ b/crates/decide/src/commit_group.rs
@@ -93,7 +93,7 @@
         self.seen.as_ref().is_some_and(|(status, asked_at)| {
             let enough = match ticket.rule {
                 CommitRule::Replicated => status.position >= ticket.position,
-                CommitRule::Primary => *asked_at >= ticket.since,
+                CommitRule::Primary | CommitRule::Upstream => *asked_at >= ticket.since,
             };
             status.term == ticket.position.term && enough
         })
@@ -270,7 +270,7 @@
                 let ticket = self.oldest_missing(upstream, instance)?;
                 let wait_for = match ticket.rule {
                     CommitRule::Replicated => Some((ticket.position, settings.commit_poll)),
-                    CommitRule::Primary => None,
+                    CommitRule::Primary | CommitRule::Upstream => None,
                 };
                 let wait = wait_for.map_or(Duration::ZERO, |(_, wait)| wait);
                 Some(Request {
--- a/crates/decide/src/conf.rs
+++ b/crates/decide/src/conf.rs
@@ -4,11 +4,14 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use bytes::Bytes;
+use model::config::Replacement;
 use model::{Config, ConfigVersion, HostId};
 use serde::{Deserialize, Serialize};
 
 use crate::call::{Patch, PatchOutcome};
 use crate::grant::Seat;
+use crate::raft::{LogIndex, OrderTicket};
 
 /// How many patches are remembered, so that resent ones are recognised.
 pub const REMEMBERED_PATCHES: usize = 10_000;
@@ -18,6 +21,13 @@
 pub enum Committed {
     /// A configuration is committed.
     Config(Arc<Config>),
+    /// An order to the platform has its number.
+    Order {
+        /// The number, which rises from order to order.
+        index: LogIndex,
+        /// The order.
+        ticket: OrderTicket,
+    },
     /// Hosts have seats, which decide on their base shares.
     Seats(Arc<BTreeMap<HostId, Seat>>),
     /// A quorum has confirmed a version as current.
@@ -42,6 +52,7 @@
     config: Arc<Config>,
     remembered: VecDeque<Remembered>,
     seats: BTreeMap<HostId, Seat>,
+    document: Option<Bytes>,
 }
 
 impl Conf {
@@ -61,6 +72,19 @@
         self.seats.entry(host.clone()).or_insert(next);
     }
 
+    /// Returns the last document that replaced the configuration.
+    pub fn document(&self) -> Option<&Bytes> {
+        self.document.as_ref()
+    }
+
+    /// Applies a committed replacement unless its version has been reached.
+    pub fn replace(&mut self, replacement: &Replacement) {
+        if replacement.config.version > self.config.version {
+            self.config = Arc::new(replacement.config.clone());
+            self.document = Some(replacement.document.clone());
+        }
+    }
+
     /// Applies a committed patch, and returns its outcome.
     pub fn apply(&mut self, patch: &Arc<Patch>) -> PatchOutcome {
         if let Some(known) = self.known(patch) {
--- a/crates/decide/src/conn.rs
+++ b/crates/decide/src/conn.rs
@@ -1,7 +1,7 @@
 //! What pooled connections to upstreams do.
 
 use bytes::Bytes;
-use model::{ConnId, InstanceStatus, TxStatus};
+use model::{ConnId, InstanceStatus, Position, TxStatus};
 
 /// Something that a pooled connection did.
 #[derive(Clone, Debug)]
@@ -34,6 +34,17 @@
     },
 }
 
+/// Why an upstream refused a request before it ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unrun {
+    /// It is not the primary.
+    NotPrimary,
+    /// Its log has not reached the position.
+    Behind,
+    /// It has more to do than it takes.
+    Busy,
+}
+
 /// The outcome of a request on a connection.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Outcome {
@@ -41,8 +52,10 @@
     pub payload: Bytes,
     /// The state of the transaction after it.
     pub tx: TxStatus,
-    /// Whether the upstream refused it before it ran, as a replica refuses a write.
-    pub refused: bool,
+    /// Why the upstream refused it before it ran, if it did.
+    pub refused: Option<Unrun>,
+    /// The position of the upstream's log after it, where each answer tells it.
+    pub position: Option<Position>,
     /// The status from before the request, where a position was waited for.
     pub before: Option<InstanceStatus>,
     /// The status from after the request, where it was wanted.
--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -5,11 +5,12 @@
 
 use model::{CallId, HostId, HostInfo, PartAddr};
 
+use crate::authority::{Authority, AuthorityKind};
 use crate::call::{Call, Reply};
 use crate::conf::Committed;
 use crate::conf_front::Front;
-use crate::group::Groups;
-use crate::raft::{Raft, RaftMsg, Recovered};
+use crate::group::{GroupMsg, Groups};
+use crate::raft::{EntryData, Raft, RaftMsg, Recovered};
 use crate::spread::{Seed, Spread};
 use crate::tokens::Tokens;
 use crate::{Cx, Effect, Event, Msg};
@@ -19,6 +20,7 @@
 pub struct Control {
     spread: Spread,
     groups: Groups,
+    authority: Authority,
     raft: Option<Raft>,
     front: Front,
     tokens: Tokens,
@@ -40,6 +42,7 @@
         Self {
             spread: Spread::new(me.clone(), seeds, now),
             groups: Groups::new(),
+            authority: Authority::default(),
             raft,
             front,
             tokens: Tokens::new(voters),
@@ -52,6 +55,7 @@
         [
             self.spread.wake_at(),
             self.groups.wake_at(),
+            self.authority.wake_at(),
             self.front.wake_at(),
             self.tokens.wake_at(),
             raft,
@@ -70,7 +74,11 @@
             Event::Undelivered { to, .. } => self.spread.on_link_down(cx, &to.host),
             Event::Needed(need) => self.tokens.holder.on_needed(cx, &need),
             Event::Call { id, call } => self.call(cx, id, call),
+            Event::Told { id, result } if has_authority(cx) => {
+                self.authority.on_told(cx, id, result);
+            }
             Event::Told { id, result } => self.groups.on_told(cx, id, result),
+            Event::Ordered { order, result } => self.authority.on_ordered(cx, &order, result),
             Event::Stored(stored) => {
                 if let Some(raft) = &mut self.raft {
                     raft.on_stored(cx, stored);
@@ -88,11 +96,26 @@
             | Event::Fed(_)
             | Event::View(_) => {}
         }
+        if has_authority(cx) {
+            self.govern(cx);
+        }
+    }
+
+    /// Lets the authority follow who leads, and numbers its orders.
+    fn govern(&mut self, cx: &mut Cx<'_>) {
+        let Some(raft) = &mut self.raft else {
+            return;
+        };
+        self.authority.set_leader(cx, raft.is_settled_leader());
+        for ticket in self.authority.take_tickets() {
+            raft.propose(cx, EntryData::Order(ticket));
+        }
     }
 
     fn tick(&mut self, cx: &mut Cx<'_>) {
         self.spread.on_tick(cx);
         self.groups.on_tick(cx);
+        self.authority.on_tick(cx);
         self.front.on_tick(cx);
         if let Some(raft) = &mut self.raft {
             raft.on_tick(cx);
@@ -103,6 +126,7 @@
     fn peer(&mut self, cx: &mut Cx<'_>, from: PartAddr, msg: Msg) {
         match msg {
             Msg::Spread(msg) => self.spread.on_msg(cx, from, msg),
+            Msg::Group(msg) if has_authority(cx) => self.doubted(cx, msg),
             Msg::Group(msg) => self.groups.on_msg(cx, from, msg),
             Msg::Raft(msg) => self.raft_msg(cx, from.host, msg),
             Msg::Grant(msg) => self.tokens.on_msg(cx, self.raft.as_mut(), from, msg),
@@ -118,6 +142,21 @@
         }
     }
 
+    /// Passes the doubt of an owner on to the leader.
+    fn doubted(&mut self, cx: &mut Cx<'_>, msg: GroupMsg) {
+        let GroupMsg::Doubted { service, upstream } = &msg else {
+            return;
+        };
+        if self.raft.as_ref().is_some_and(Raft::is_leader) {
+            self.authority.doubt(cx, service, upstream);
+        } else if let Some(leader) = self.tokens.holder.leader().cloned()
+            && leader != cx.me.host
+            && cx.me.entry
+        {
+            cx.send_control(&leader, msg);
+        }
+    }
+
     fn call(&mut self, cx: &mut Cx<'_>, id: CallId, call: Call) {
         match call {
             Call::Status => {
@@ -131,6 +170,11 @@
                 let reply = Reply::Done;
                 cx.emit(Effect::Reply { id, reply });
             }
+            Call::Withdraw(upstream) => {
+                self.spread.withdraw(cx, &upstream);
+                let reply = Reply::Done;
+                cx.emit(Effect::Reply { id, reply });
+            }
             call => self.front.on_call(cx, id, call),
         }
     }
@@ -141,6 +185,7 @@
                 self.tokens.allocator.on_config(cx, &config);
                 self.spread.on_config(cx, config);
             }
+            Committed::Order { index, ticket } => self.authority.on_numbered(cx, index, &ticket),
             Committed::Seats(seats) => self.tokens.on_seats(cx, &seats),
             Committed::Confirmed { version, at } => {
                 self.tokens.on_confirmed(cx, self.raft.as_ref(), at);
@@ -151,7 +196,14 @@
 
     fn publish(&mut self, cx: &mut Cx<'_>) {
         let view = Arc::new(self.spread.view(cx.now));
-        self.groups.sync(cx, &view);
+        if has_authority(cx) {
+            self.authority.sync(cx, &view);
+        } else {
+            self.groups.sync(cx, &view);
+        }
+        let controls = self.spread.control_hosts();
+        self.front.set_voters(controls.clone());
+        self.tokens.set_voters(controls);
         self.tokens.holder.on_config(&view.config);
         cx.emit(Effect::Publish(view));
     }
@@ -162,3 +214,8 @@
         cx.emit(Effect::Left);
     }
 }
+
+/// Returns whether the leader of consensus replaces primaries.
+fn has_authority(cx: &Cx<'_>) -> bool {
+    cx.settings.group.authority == AuthorityKind::Quorum
+}
--- a/crates/decide/src/effect.rs
+++ b/crates/decide/src/effect.rs
@@ -5,9 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use model::{Answer, CallId, ConnId, PartAddr, Position, RequestId, SessionId, UpstreamId};
+use model::{
+    Answer, CallId, ConnId, PartAddr, Position, RequestId, ServiceId, SessionId, UpstreamId,
+    WorkspaceId,
+};
 
 use crate::ask::{Ask, AskId};
+use crate::authority::Order;
 use crate::call::Reply;
 use crate::raft::Persist;
 use crate::{Event, Msg, Note, View};
@@ -76,6 +80,10 @@
         upstream: UpstreamId,
         /// Where it listens.
         addr: SocketAddr,
+        /// The service that it must serve.
+        service: ServiceId,
+        /// The workspace whose requests it is for, if connections are not shared.
+        workspace: Option<WorkspaceId>,
     },
     /// Runs a request on a pooled connection.
     RunOn {
@@ -85,6 +93,8 @@
         payload: Bytes,
         /// Waits for a position first; the outcome says whether it was reached.
         wait_for: Option<(Position, Duration)>,
+        /// The upstream must refuse the request unless it is the primary.
+        as_primary: bool,
         /// Asks for the upstream's status after the request.
         want_status: bool,
         /// How long the answer may take before the connection is given up.
@@ -98,6 +108,8 @@
         id: AskId,
         /// The upstream.
         upstream: UpstreamId,
+        /// The service that it must serve.
+        service: ServiceId,
         /// Where it listens.
         addr: SocketAddr,
         /// The question.
@@ -107,6 +119,8 @@
         /// How long the answer may take.
         timeout: Duration,
     },
+    /// Sends an order to the platform.
+    Order(Order),
     /// Writes state to disk and syncs it.
     Persist(Persist),
     /// Writes a log line.
--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -12,7 +12,7 @@
 use crate::grant::Feed;
 use crate::relay::{Bounce, RelayMsg, Run};
 use crate::route::ReadPolicy;
-use crate::session::{Pin, SessionNote, Sessions};
+use crate::session::{Pin, SessionNote, Sessions, is_graceful};
 use crate::{Cx, View};
 
 /// Requests of callers that have no answer yet.
@@ -71,20 +71,16 @@
             return;
         };
         session.running = Some(request);
-        req.workspace = session.workspace.clone();
-        req.service = session.service.clone();
-        req.floor = session.floor;
-        req.transaction |= session.pin.is_some();
-        if req.kind == Kind::Read && req.max_age.is_none() && session.floor.is_some() {
-            req.max_age = Some(cx.settings.session.default_max_age);
-        }
+        let dressed = session.dress(view, cx.settings.session.default_max_age, &mut req);
+        let paid = session.is_paid();
         let refusal = if session.lost_transaction {
             session.lost_transaction = false;
             Some(Refusal::TransactionLost)
         } else if !view.usable {
             Some(Refusal::NotReady)
         } else {
-            session.ending.filter(|why| *why != Refusal::NotReady)
+            let ending = session.ending.filter(|why| !is_graceful(*why));
+            ending.or(dressed.err())
         };
         let deadline = cx.now + req.timeout;
         let flight = Flight {
@@ -96,7 +92,7 @@
             at: None,
             timer: deadline,
             since: cx.now,
-            admitted: false,
+            admitted: paid,
             why: Refusal::NoUpstream,
             behind: false,
             may_have_run: false,
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -7,6 +7,7 @@
 
 use crate::ask::AskId;
 use crate::ask::{AskError, Told};
+use crate::authority::{Order, OrderError};
 use crate::call::Call;
 use crate::caller::CallerEvent;
 use crate::conf::Committed;
@@ -63,6 +64,13 @@
     Needed(PartNeed),
     /// The control part of this host hands out tokens.
     Fed(Feed),
+    /// The platform has answered an order, or has not.
+    Ordered {
+        /// The order.
+        order: Order,
+        /// Whether it was carried out.
+        result: Result<(), OrderError>,
+    },
     /// State has been synced to disk.
     Stored(Stored),
     /// The control part has published a new view.
--- a/crates/decide/src/grant_hold.rs
+++ b/crates/decide/src/grant_hold.rs
@@ -72,6 +72,11 @@
 }
 
 impl Holder {
+    /// Returns the leader, if one is known.
+    pub(crate) fn leader(&self) -> Option<&HostId> {
+        self.leader.as_ref()
+    }
+
     /// Follows the leader of a term of consensus.
     pub fn set_leader(&mut self, cx: &mut Cx<'_>, term: u64, leader: HostId) {
         if term < self.term || (term == self.term && self.leader.as_ref() == Some(&leader)) {
--- a/crates/decide/src/grant_leader.rs
+++ b/crates/decide/src/grant_leader.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// Replaces the hosts that may know who leads.
+    pub(crate) fn set_voters(&mut self, voters: Vec<HostId>) {
+        self.voters = voters;
+    }
+
     /// Asks a voter who leads, if no leader answers and it is time to.
     pub(crate) fn on_tick(&mut self, cx: &mut Cx<'_>, holder: &Holder) {
         if self.ask_at.is_some_and(|at| cx.now < at) {
--- a/crates/decide/src/group_ask.rs
+++ b/crates/decide/src/group_ask.rs
@@ -82,6 +82,7 @@
         cx.emit(Effect::Ask {
             id: self.last,
             upstream: to.upstream.clone(),
+            service: to.service.clone(),
             addr: to.addr,
             ask,
             fresh: manner.fresh,
--- a/crates/decide/src/group_settings.rs
+++ b/crates/decide/src/group_settings.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
+use crate::authority::AuthorityKind;
 use serde::{Deserialize, Serialize};
 
 /// Settings of this feature.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct GroupSettings {
+    /// Who replaces a lost primary: instances, by their promises, or quorum, by its leader's orders.
+    pub authority: AuthorityKind,
     /// How often a primary, and each instance that this host owns, is asked for its status.
     #[serde(with = "humantime_serde")]
     pub probe_every: Duration,
@@ -79,6 +82,7 @@
 impl Default for GroupSettings {
     fn default() -> Self {
         Self {
+            authority: AuthorityKind::default(),
             probe_every: Duration::from_millis(250),
             probe_others_every: Duration::from_millis(750),
             probe_timeout: Duration::from_millis(400),
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,6 +6,9 @@
 
 pub mod admit;
 pub mod ask;
+pub mod authority;
+mod authority_note;
+mod authority_service;
 pub mod breaker;
 pub mod call;
 pub mod caller;
@@ -42,12 +45,14 @@
 pub mod msg;
 pub mod note;
 pub mod owner;
+mod owner_announced;
 mod owner_confirm;
 mod owner_conn;
 mod owner_job;
 mod owner_note;
 mod owner_open;
 mod owner_pin;
+pub mod owner_position;
 mod owner_queue;
 mod owner_settings;
 mod owner_upstream;
--- a/crates/decide/src/note.rs
+++ b/crates/decide/src/note.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::{grant, group, owner, raft, session, spread};
+use crate::{authority, grant, group, owner, raft, session, spread};
 
 /// A log line of one of the areas.
 #[derive(Clone, Debug, PartialEq)]
@@ -13,6 +13,8 @@
     Owner(owner::OwnerNote),
     /// Events 300 to 399: primaries.
     Group(group::GroupNote),
+    /// Events 350 to 359: the quorum's authority over primaries.
+    Authority(authority::AuthorityNote),
     /// Events 400 to 499: control state.
     Raft(raft::RaftNote),
     /// Events 500 to 599: hosts, upstreams and configuration in force.
@@ -35,6 +37,7 @@
             Note::Session($inner) => $body,
             Note::Owner($inner) => $body,
             Note::Group($inner) => $body,
+            Note::Authority($inner) => $body,
             Note::Raft($inner) => $body,
             Note::Spread($inner) => $body,
             Note::Grant($inner) => $body,
@@ -72,6 +75,7 @@
     Session(session::SessionNote),
     Owner(owner::OwnerNote),
     Group(group::GroupNote),
+    Authority(authority::AuthorityNote),
     Raft(raft::RaftNote),
     Spread(spread::SpreadNote),
     Grant(grant::GrantNote),
--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -4,10 +4,12 @@
 
 use model::{ConnId, HashMap, HostId, PartAddr, UpstreamId};
 
+use crate::ask::{AskError, AskId, Told};
 use crate::conn::ConnEvent;
 use crate::event::Probed;
 use crate::owner_confirm::Confirms;
 use crate::owner_job::Job;
+use crate::owner_position::{PositionMsg, Positions};
 use crate::owner_upstream::Upstream;
 use crate::owner_wait::{WaitIfSoon, WaitPolicy};
 use crate::queue::{Discipline, Drr, Queue};
@@ -15,7 +17,7 @@
 use crate::{Cx, View};
 
 pub use crate::owner_note::{OwnerNote, Subject};
-pub use crate::owner_settings::OwnerSettings;
+pub use crate::owner_settings::{Capacity, OwnerSettings};
 
 /// Bits of a connection's number that count the connections of one start of the host.
 const CONN_BITS: u32 = 24;
@@ -36,6 +38,8 @@
 pub(crate) struct Shared {
     /// Which upstream each connection leads to.
     pub(crate) conns: HashMap<ConnId, UpstreamId>,
+    /// The positions that primaries have had, by service.
+    pub(crate) positions: Positions,
     /// The writes that wait to be confirmed.
     pub(crate) confirms: Confirms,
     opened: u64,
@@ -82,6 +86,11 @@
             upstream.live = seen.is_some();
             upstream.owned = seen.is_some_and(|seen| seen.owners.contains(&cx.me.host));
             upstream.follow(view);
+            if let Some(seen) = seen
+                && cx.settings.owner.capacity == Capacity::Announced
+            {
+                upstream.take_share(cx, view, seen);
+            }
             upstream.evacuate(cx, &mut self.shared);
             upstream.settle(cx, &mut self.shared);
         }
@@ -110,6 +119,7 @@
             return job.turn_away(cx);
         };
         upstream.follow(view);
+        upstream.reached = self.shared.positions.get(&upstream.service);
         match job.run.pin {
             Some(conn) => upstream.arrive_pinned(cx, conn, job),
             None => upstream.arrive(cx, job),
@@ -177,6 +187,34 @@
         self.shared.confirms.resolve(cx, ticket, confirmed);
     }
 
+    /// Takes in a message about the positions of primaries.
+    pub fn on_position(&mut self, cx: &mut Cx<'_>, view: &View, from: &PartAddr, msg: PositionMsg) {
+        self.shared.positions.on_msg(cx, view, from, msg);
+        self.note_positions();
+    }
+
+    /// Takes in the answer to a question about a position; returns whether it was one.
+    pub fn on_told(&mut self, cx: &mut Cx<'_>, id: AskId, result: &Result<Told, AskError>) -> bool {
+        let mine = self.shared.positions.on_told(cx, id, result);
+        self.note_positions();
+        mine
+    }
+
+    /// Asks for positions that are due to be learned anew.
+    pub fn refresh(&mut self, cx: &mut Cx<'_>, view: &View) {
+        if cx.settings.owner.capacity == Capacity::Announced {
+            let owned = self.upstreams.values().filter(|up| up.owned && up.live);
+            let services = owned.map(|upstream| upstream.service.clone());
+            self.shared.positions.refresh(cx, view, services.collect());
+        }
+    }
+
+    fn note_positions(&mut self) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.reached = self.shared.positions.get(&upstream.service);
+        }
+    }
+
     /// Does what is due.
     pub fn on_tick(&mut self, cx: &mut Cx<'_>) {
         let cut = self.leave_by.take_if(|by| *by <= cx.now).is_some();
@@ -195,6 +233,7 @@
             .filter_map(Upstream::wake_at)
             .chain(self.shared.confirms.wake_at())
             .chain(self.leave_by)
+            .chain(self.shared.positions.wake_at())
             .min()
     }
 
--- a/crates/decide/src/owner_conn.rs
+++ b/crates/decide/src/owner_conn.rs
@@ -3,11 +3,12 @@
 use model::{Answer, ConnId, HostId, Refusal, Role, TxStatus, Verdict};
 
 use crate::Cx;
-use crate::conn::Outcome;
+use crate::conn::{Outcome, Unrun};
 use crate::group::GroupMsg;
 use crate::owner::Shared;
 use crate::owner_job::{Job, Pin, Running};
 use crate::owner_note::OwnerNote;
+use crate::owner_settings::Capacity;
 use crate::owner_upstream::{Upstream, age_bound, reaches};
 use crate::owner_wait::WaitPolicy;
 use crate::queue::{Discipline, Queue};
@@ -166,6 +167,14 @@
         for status in outcome.before.iter().chain(&outcome.after) {
             self.learn(status.clone(), running.started);
         }
+        if running.role == Role::Primary
+            && outcome.refused.is_none()
+            && let Some(position) = outcome.position
+        {
+            let service = &self.service;
+            shared.positions.note(service, position, running.started);
+            self.reached = shared.positions.get(service);
+        }
         let pin = self.pins.remove(&conn);
         let pinned = pin.is_some();
         let verdict = judge(&running, &outcome, pinned);
@@ -201,6 +210,7 @@
         }
         match verdict {
             Err(Unfit::Behind) => running.job.bounce(cx, Bounce::Behind),
+            Err(Unfit::Busy) => self.try_again(cx, running.job),
             Err(Unfit::NotPrimary) => running.job.bounce(cx, self.not_primary()),
             Err(Unfit::TransactionLost) => {
                 running
@@ -221,6 +231,18 @@
         outcome: Outcome,
         wrote: bool,
     ) {
+        if cx.settings.owner.capacity == Capacity::Announced {
+            let job = &running.job;
+            let done = job.writes() && outcome.tx == TxStatus::Idle;
+            let pin = (outcome.tx != TxStatus::Idle).then_some(conn);
+            let answer = Answer {
+                verdict: Verdict::Ran,
+                payload: outcome.payload,
+                tx: outcome.tx,
+                position: outcome.position.filter(|_| done),
+            };
+            return job.answer(cx, answer, pin);
+        }
         let status = outcome.after.as_ref().or(outcome.before.as_ref());
         let answer = Answer {
             verdict: Verdict::Ran,
@@ -300,18 +322,20 @@
     NotPrimary,
     /// The upstream refused a statement of a transaction.
     TransactionLost,
+    /// The upstream has more to do than it takes.
+    Busy,
     /// A read ran on data that is behind its floor or too old.
     Behind,
 }
 
 /// Returns whether an outcome may be handed out.
 fn judge(running: &Running, outcome: &Outcome, pinned: bool) -> Result<(), Unfit> {
-    if outcome.refused {
-        return Err(if pinned {
-            Unfit::TransactionLost
-        } else {
-            Unfit::NotPrimary
-        });
+    match outcome.refused {
+        Some(_) if pinned => return Err(Unfit::TransactionLost),
+        Some(Unrun::NotPrimary) => return Err(Unfit::NotPrimary),
+        Some(Unrun::Behind) => return Err(Unfit::Behind),
+        Some(Unrun::Busy) => return Err(Unfit::Busy),
+        None => {}
     }
     if !running.waits {
         return Ok(());
--- a/crates/decide/src/owner_job.rs
+++ b/crates/decide/src/owner_job.rs
@@ -66,7 +66,8 @@
 
     /// Returns whether it, or the transaction that it belongs to, may write.
     pub(crate) fn may_write(&self) -> bool {
-        self.writes() || self.run.req.transaction
+        let req = &self.run.req;
+        self.writes() || (req.transaction && !req.read_only)
     }
 
     /// Tells that nothing proves what it says: a write may have run, a read is tried again.
--- a/crates/decide/src/owner_open.rs
+++ b/crates/decide/src/owner_open.rs
@@ -1,13 +1,16 @@
 //! Opens and closes connections to an upstream.
 
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 use model::ConnId;
 
 use crate::owner::Shared;
 use crate::owner_note::OwnerNote;
+use crate::owner_settings::{Capacity, OwnerSettings};
 use crate::owner_upstream::Upstream;
 use crate::owner_wait::WaitPolicy;
+use crate::pool::Lane;
 use crate::queue::{Discipline, Queue};
 use crate::{Cx, Effect};
 
@@ -49,44 +52,76 @@
         }
     }
 
-    /// Returns how many free connections there should be beyond those there are.
-    fn lacking(&self, now: Instant, warm: u32) -> usize {
+    /// Returns the lanes that lack connections, and how many.
+    fn lacking(&self, now: Instant, settings: &OwnerSettings) -> Vec<(Lane, usize)> {
         let Some(claim) = self.held(now) else {
-            return 0;
+            return Vec::new();
         };
         if !self.open_for_work(now) {
-            return 0;
+            return Vec::new();
         }
         let free_slots = (claim.slots as usize).saturating_sub(self.running.len());
-        let wanted = self.queue.len().min(free_slots).max(warm as usize);
-        let missing = wanted.saturating_sub(self.pool.idle() + self.pool.openings());
-        missing.min((claim.connections as usize).saturating_sub(self.pool.len()))
+        let mut wanted: BTreeMap<Lane, usize> = BTreeMap::new();
+        if settings.capacity == Capacity::Claimed {
+            let count = self.queue.len().min(free_slots);
+            wanted.insert(None, count.max(settings.warm_connections as usize));
+        } else {
+            for job in self.queue.items().filter(|job| job.run.pin.is_none()) {
+                let count = wanted.entry(settings.lane(&job.run.req)).or_default();
+                *count = (*count + 1).min(free_slots.max(1));
+            }
+        }
+        let missing = wanted.into_iter().map(|(lane, wanted)| {
+            let missing = wanted.saturating_sub(self.pool.ready(&lane));
+            (lane, missing)
+        });
+        missing.filter(|(_, missing)| *missing > 0).collect()
     }
 
     /// Opens the connections that are lacking.
     pub(crate) fn open_more(&mut self, cx: &mut Cx<'_>, shared: &mut Shared) {
         let settings = &cx.settings.owner;
-        let mut lacking = self.lacking(cx.now, settings.warm_connections);
+        let lacking = self.lacking(cx.now, settings);
         self.open_after = self.open_after.filter(|after| cx.now < *after);
-        if lacking == 0 || self.open_after.is_some() {
+        if lacking.is_empty() || self.open_after.is_some() {
             return;
         }
         if self.breaker.is_open() && !self.breaker.allow(cx.now, &settings.breaker) {
             return;
         }
-        if self.breaker.is_on_trial() {
-            lacking = 1_usize.saturating_sub(self.pool.openings());
+        let on_trial = self.breaker.is_on_trial();
+        for (lane, missing) in lacking {
+            for _ in 0..missing {
+                if (on_trial && self.pool.openings() > 0) || !self.make_room(cx, shared, &lane) {
+                    return;
+                }
+                self.open_one(cx, shared, lane.clone());
+            }
         }
-        for _ in 0..lacking {
-            let conn = shared.next_conn(cx, &self.id);
-            self.pool.opening(conn);
-            let upstream = self.id.clone();
-            let addr = self.addr;
-            cx.emit(Effect::OpenConn {
-                conn,
-                upstream,
-                addr,
-            });
+    }
+
+    /// Returns whether one more connection may be opened, and closes one of another lane for it.
+    fn make_room(&mut self, cx: &mut Cx<'_>, shared: &mut Shared, lane: &Lane) -> bool {
+        let limit = self.held(cx.now).map_or(0, |claim| claim.connections);
+        if self.pool.len() < limit as usize {
+            return true;
         }
+        let Some(conn) = self.pool.take_other(lane) else {
+            return false;
+        };
+        self.close(cx, shared, conn, "other-workspace");
+        true
+    }
+
+    fn open_one(&mut self, cx: &mut Cx<'_>, shared: &mut Shared, lane: Lane) {
+        let conn = shared.next_conn(cx, &self.id);
+        self.pool.opening(conn, lane.clone());
+        cx.emit(Effect::OpenConn {
+            conn,
+            upstream: self.id.clone(),
+            addr: self.addr,
+            service: self.service.clone(),
+            workspace: lane,
+        });
     }
 }
--- a/crates/decide/src/owner_queue.rs
+++ b/crates/decide/src/owner_queue.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
-use model::Refusal;
+use model::{Refusal, Role};
 
 use crate::group::GroupMsg;
 use crate::owner::Shared;
 use crate::owner_job::{Job, Running};
 use crate::owner_note::OwnerNote;
+use crate::owner_settings::Capacity;
 use crate::owner_upstream::Upstream;
 use crate::owner_wait::WaitPolicy;
 use crate::queue::{Discipline, Popped, Queue};
@@ -123,10 +124,14 @@
         let slots = self.held(cx.now).map_or(0, |claim| claim.slots as usize);
         while self.running.len() < slots {
             let (running, pool) = (&self.running, &self.pool);
+            let settings = &cx.settings.owner;
             let room = self.transaction_room(cx);
             let popped = self.queue.pop(|job| match job.run.pin {
                 Some(conn) => !running.contains_key(&conn),
-                None => pool.idle() > 0 && (room || !job.opens_transaction()),
+                None => {
+                    let free = pool.has_idle(&settings.lane(&job.run.req));
+                    free && (room || !job.opens_transaction())
+                }
             });
             let Some(popped) = popped else {
                 return;
@@ -155,9 +160,11 @@
                 return job.bounce(cx, fit.err().unwrap_or(Bounce::Unavailable));
             }
         };
-        let Some(conn) = job.run.pin.or_else(|| self.pool.take()) else {
+        let lane = cx.settings.owner.lane(&job.run.req);
+        let Some(conn) = job.run.pin.or_else(|| self.pool.take(&lane)) else {
             return job.bounce(cx, Bounce::Unavailable);
         };
+        let claimed = cx.settings.owner.capacity == Capacity::Claimed;
         let what = job.subject();
         let reason = match job.run.pin {
             Some(_) => "transaction",
@@ -169,7 +176,8 @@
             conn,
             payload: job.run.req.payload.clone(),
             wait_for,
-            want_status: job.may_write() || job.reads_newest(),
+            as_primary: known.status.role == Role::Primary,
+            want_status: claimed && (job.may_write() || job.reads_newest()),
             timeout,
         });
         let running = Running {
@@ -178,7 +186,7 @@
             role: known.status.role,
             term: known.status.term,
             orphan: false,
-            waits: wait_for.is_some(),
+            waits: claimed && wait_for.is_some(),
             job,
         };
         self.running.insert(conn, running);
--- a/crates/decide/src/owner_settings.rs
+++ b/crates/decide/src/owner_settings.rs
@@ -4,7 +4,21 @@
 
 use serde::{Deserialize, Serialize};
 
+use model::Request;
+
 use crate::breaker::BreakerSettings;
+use crate::pool::Lane;
+
+/// How an owner learns what it may use of an upstream, and what the upstream's log has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Capacity {
+    /// The upstream grants claims, and statuses tell the age of its data.
+    #[default]
+    Claimed,
+    /// Owners divide what is announced, and reads wait for positions.
+    Announced,
+}
 
 /// Settings of this feature.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -29,6 +43,16 @@
     /// How long after a failure to open a connection the next one is tried.
     #[serde(with = "humantime_serde")]
     pub open_backoff: Duration,
+    /// How an owner learns its share of an upstream: claimed or announced.
+    pub capacity: Capacity,
+    /// Connections of an upstream that owners leave free, where they divide them.
+    pub spare_connections: u32,
+    /// How often an owner of a replica learns the primary's position anew.
+    #[serde(with = "humantime_serde")]
+    pub position_refresh: Duration,
+    /// What is taken off the age bound of a read for its way to the upstream.
+    #[serde(with = "humantime_serde")]
+    pub age_margin: Duration,
     /// When an upstream counts as sick.
     pub breaker: BreakerSettings,
 }
@@ -43,7 +67,18 @@
             leave_timeout: Duration::from_secs(20),
             replica_wait: Duration::from_millis(20),
             open_backoff: Duration::from_millis(200),
+            capacity: Capacity::default(),
+            spare_connections: 6,
+            position_refresh: Duration::from_millis(300),
+            age_margin: Duration::from_millis(300),
             breaker: BreakerSettings::default(),
         }
     }
 }
+
+impl OwnerSettings {
+    /// Returns the lane of the connections that a request may run on.
+    pub(crate) fn lane(&self, req: &Request) -> Lane {
+        (self.capacity == Capacity::Announced).then(|| req.workspace.clone())
+    }
+}
--- a/crates/decide/src/owner_upstream.rs
+++ b/crates/decide/src/owner_upstream.rs
@@ -12,6 +12,7 @@
 use crate::event::Probed;
 use crate::owner_job::{Job, Pin, Running};
 use crate::owner_note::OwnerNote;
+use crate::owner_settings::Capacity;
 use crate::owner_wait::{Progress, WaitPolicy};
 use crate::pool::Pool;
 use crate::queue::{Discipline, Queue};
@@ -51,6 +52,8 @@
     pub(crate) open_after: Option<Instant>,
     /// When a request was last answered.
     pub(crate) heard_at: Option<Instant>,
+    /// A position that the primary had, and a moment at which everything up to it was all.
+    pub(crate) reached: Option<(Position, Instant)>,
     pub(crate) wait: W,
 }
 
@@ -78,6 +81,7 @@
             breaker: Breaker::default(),
             open_after: None,
             heard_at: None,
+            reached: None,
             wait: W::default(),
         }
     }
@@ -116,6 +120,9 @@
         req: &Request,
     ) -> Result<Option<(Position, Duration)>, Bounce> {
         let known = self.known.as_ref().ok_or(Bounce::Unavailable)?;
+        if cx.settings.owner.capacity == Capacity::Announced {
+            return self.fit_by_position(cx, &known.status, req);
+        }
         if req.kind == Kind::Write {
             return self.fit_write(&known.status).map(|()| None);
         }
@@ -136,7 +143,7 @@
     }
 
     /// Returns whether the upstream takes writes, as far as is known.
-    fn fit_write(&self, status: &InstanceStatus) -> Result<(), Bounce> {
+    pub(crate) fn fit_write(&self, status: &InstanceStatus) -> Result<(), Bounce> {
         let deposed = self.primary.as_ref().is_some_and(|(term, id)| {
             *term > status.term || (*term == status.term && *id != self.id)
         });
--- a/crates/decide/src/pool.rs
+++ b/crates/decide/src/pool.rs
@@ -3,14 +3,17 @@
 use std::collections::VecDeque;
 use std::time::Instant;
 
-use model::{ConnId, HashMap, HashSet};
+use model::{ConnId, HashMap, WorkspaceId};
+
+/// Whose requests a connection may run: those of one workspace, or those of all.
+pub(crate) type Lane = Option<WorkspaceId>;
 
 /// The connections of one part to one upstream.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
-    /// Every connection, with the generation that it was opened in.
-    conns: HashMap<ConnId, u64>,
-    opening: HashSet<ConnId>,
+    /// Every connection, with the generation that it was opened in and its lane.
+    conns: HashMap<ConnId, (u64, Lane)>,
+    opening: HashMap<ConnId, Lane>,
     /// The free connections, the one that was used last at the back.
     idle: VecDeque<Idle>,
     /// Rises when all connections of before are to be replaced.
@@ -21,6 +24,7 @@
 #[derive(Debug)]
 struct Idle {
     conn: ConnId,
+    lane: Lane,
     since: Instant,
     /// When it is closed for want of use.
     until: Instant,
@@ -28,27 +32,43 @@
 
 impl Pool {
     /// Adds a connection that is being opened.
-    pub(crate) fn opening(&mut self, conn: ConnId) {
-        self.conns.insert(conn, self.generation);
-        self.opening.insert(conn);
+    pub(crate) fn opening(&mut self, conn: ConnId, lane: Lane) {
+        self.conns.insert(conn, (self.generation, lane.clone()));
+        self.opening.insert(conn, lane);
     }
 
     /// Notes that a connection is open and free; returns whether it may be kept.
     pub(crate) fn opened(&mut self, conn: ConnId, now: Instant, until: Instant) -> bool {
-        self.opening.remove(&conn) && self.release(conn, now, until)
+        self.opening.remove(&conn).is_some() && self.release(conn, now, until)
+    }
+
+    /// Takes the free connection of a lane that was used last.
+    pub(crate) fn take(&mut self, lane: &Lane) -> Option<ConnId> {
+        let at = self.idle.iter().rposition(|idle| idle.lane == *lane)?;
+        self.idle.remove(at).map(|idle| idle.conn)
     }
 
-    /// Takes the free connection that was used last.
-    pub(crate) fn take(&mut self) -> Option<ConnId> {
-        self.idle.pop_back().map(|idle| idle.conn)
+    /// Takes out the free connection of any other lane that has waited longest.
+    pub(crate) fn take_other(&mut self, lane: &Lane) -> Option<ConnId> {
+        let at = self.idle.iter().position(|idle| idle.lane != *lane)?;
+        self.idle.remove(at).map(|idle| idle.conn)
     }
 
     /// Gives a connection back; returns whether it may be kept.
     pub(crate) fn release(&mut self, conn: ConnId, since: Instant, until: Instant) -> bool {
-        if self.conns.get(&conn) != Some(&self.generation) {
+        let Some((generation, lane)) = self.conns.get(&conn) else {
+            return false;
+        };
+        if *generation != self.generation {
             return false;
         }
-        self.idle.push_back(Idle { conn, since, until });
+        let lane = lane.clone();
+        self.idle.push_back(Idle {
+            conn,
+            lane,
+            since,
+            until,
+        });
         true
     }
 
@@ -89,9 +109,19 @@
         self.idle.front().map(|idle| idle.until)
     }
 
-    /// Returns how many connections are free.
-    pub(crate) fn idle(&self) -> usize {
-        self.idle.len()
+    /// Returns whether a connection of a lane is free.
+    pub(crate) fn has_idle(&self, lane: &Lane) -> bool {
+        self.idle.iter().any(|idle| idle.lane == *lane)
+    }
+
+    /// Returns how many connections of a lane are free or being opened.
+    pub(crate) fn ready(&self, lane: &Lane) -> usize {
+        let idle = self.idle.iter().filter(|idle| idle.lane == *lane).count();
+        idle + self
+            .opening
+            .values()
+            .filter(|opening| *opening == lane)
+            .count()
     }
 
     /// Returns how many connections are being opened.
--- a/crates/decide/src/raft.rs
+++ b/crates/decide/src/raft.rs
@@ -8,8 +8,8 @@
 
 use crate::conf::{Committed, Conf};
 pub use crate::raft_entry::{
-    CONFIG_GROUP, Entry, EntryData, GroupId, HardState, LogIndex, OutOfOrder, Persist, Place,
-    RaftTerm, Recovered, Snapshot, StoreId, Stored, WriteId,
+    CONFIG_GROUP, Entry, EntryData, GroupId, HardState, LogIndex, OrderTicket, OutOfOrder, Persist,
+    Place, RaftTerm, Recovered, Snapshot, StoreId, Stored, WriteId,
 };
 use crate::raft_leader::Leader;
 use crate::raft_log::Log;
@@ -214,6 +214,11 @@
         matches!(self.role, Role::Leader(_))
     }
 
+    /// Returns whether this member leads and knows all that was committed before.
+    pub fn is_settled_leader(&self) -> bool {
+        matches!(&self.role, Role::Leader(leader) if self.applied >= leader.first)
+    }
+
     /// Returns the consensus term.
     pub fn term(&self) -> RaftTerm {
         self.hard.term
--- a/crates/decide/src/raft_append.rs
+++ b/crates/decide/src/raft_append.rs
@@ -186,6 +186,20 @@
                 }
                 self.answer_patch(cx, index, outcome);
             }
+            EntryData::Replace(replacement) => {
+                let replacement = replacement.clone();
+                let before = self.conf.config().version;
+                self.conf.replace(&replacement);
+                let version = self.conf.config().version;
+                if version != before {
+                    cx.note(RaftNote::ConfigCommitted { version, index });
+                }
+                self.answer_replaced(cx, index);
+            }
+            EntryData::Order(ticket) => {
+                let ticket = ticket.clone();
+                cx.raise(Event::Committed(Committed::Order { index, ticket }));
+            }
             EntryData::Seat(host) => {
                 self.conf.seat(&host.clone());
                 self.raise_seats(cx);
--- a/crates/decide/src/raft_call.rs
+++ b/crates/decide/src/raft_call.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use model::config::Replacement;
 use model::{ConfigVersion, HostId};
 
 use crate::Cx;
@@ -26,6 +27,8 @@
 enum Wants {
     /// A patch to be applied.
     Patch(LogIndex),
+    /// A replacement to be applied.
+    Replace(LogIndex),
     /// A round that shows that this member still leads.
     Read(Round, Read),
     /// A host to be a voter.
@@ -38,6 +41,8 @@
 #[derive(Debug)]
 enum Read {
     Config,
+    Document,
+    Version,
     History(ConfigVersion),
 }
 
@@ -94,6 +99,8 @@
                     self.advance_commit(cx);
                 }
             }
+            Call::Replace(replacement) => self.replace(cx, from, id, *replacement),
+            Call::Document => self.read(cx, from, id, Read::Document),
             Call::Config => self.read(cx, from, id, Read::Config),
             Call::History { after } => self.read(cx, from, id, Read::History(after)),
             Call::AddVoter { host } => {
@@ -118,10 +125,37 @@
                 self.answer_changes(cx);
                 self.change_membership(cx);
             }
-            Call::Status | Call::Announce(_) => {}
+            Call::Status | Call::Announce(_) | Call::Withdraw(_) => {}
         }
     }
 
+    /// Appends a replacement, unless what is held already makes it void.
+    fn replace(&mut self, cx: &mut Cx<'_>, from: HostId, id: ForwardId, with: Replacement) {
+        if with.config.version <= self.conf.config().version {
+            return self.read(cx, from, id, Read::Version);
+        }
+        if let Some(index) = self.append_own(EntryData::Replace(Arc::new(with))) {
+            self.wait(cx, from, id, Wants::Replace(index));
+            self.replicate(cx);
+            self.advance_commit(cx);
+        }
+    }
+
+    /// Answers the call that waits for a replacement.
+    pub(crate) fn answer_replaced(&mut self, cx: &mut Cx<'_>, index: LogIndex) {
+        let version = self.conf.config().version;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        leader.waiting.retain(|call| {
+            let mine = matches!(call.wants, Wants::Replace(at) if at == index);
+            if mine {
+                call.reply(cx, Reply::Replaced(version));
+            }
+            !mine
+        });
+    }
+
     fn wait(&mut self, cx: &Cx<'_>, from: HostId, id: ForwardId, wants: Wants) {
         let Role::Leader(leader) = &mut self.role else {
             return;
@@ -161,6 +195,8 @@
             let reply = match &call.wants {
                 Wants::Read(round, _) if *round > confirmed => return true,
                 Wants::Read(_, Read::Config) => Reply::Config(conf.config().as_ref().clone()),
+                Wants::Read(_, Read::Document) => Reply::Document(conf.document().cloned()),
+                Wants::Read(_, Read::Version) => Reply::Replaced(conf.config().version),
                 Wants::Read(_, Read::History(after)) => Reply::History(conf.history(*after)),
                 _ => return true,
             };
--- a/crates/decide/src/raft_change.rs
+++ b/crates/decide/src/raft_change.rs
@@ -13,6 +13,9 @@
 /// How many heartbeats a hello counts for.
 const HELLO_LASTS_HEARTBEATS: u32 = 20;
 
+/// How many live voters must be there for a lost one to be dropped.
+const LEAST_VOTERS: usize = 3;
+
 /// One step of the membership.
 struct Step {
     membership: Membership,
@@ -33,6 +36,7 @@
             .promotion(cx)
             .or_else(|| self.replacement(cx))
             .or_else(|| self.removal())
+            .or_else(|| self.loss(cx))
             .or_else(|| self.addition(cx));
         // A step after which no quorum answers would leave the group stuck.
         if let Some(step) = step
@@ -86,6 +90,36 @@
         Some(self.drop_step(member.clone()))
     }
 
+    /// Drops a voter that was silent for long, as long as enough others are there.
+    fn loss(&self, cx: &Cx<'_>) -> Option<Step> {
+        let settings = &cx.settings.raft;
+        if !settings.auto_members || self.live_voters(cx) < LEAST_VOTERS {
+            return None;
+        }
+        let silent = |member: &Member| {
+            let heard = self.heard_at(member).unwrap_or(self.led_since()?);
+            Some(cx.now >= heard + settings.lost_after)
+        };
+        let mut members = self
+            .membership
+            .members()
+            .filter(|member| **member != self.me);
+        let member = members.find(|member| silent(member) == Some(true))?;
+        Some(self.drop_step(member.clone()))
+    }
+
+    fn led_since(&self) -> Option<Instant> {
+        match &self.role {
+            Role::Leader(leader) => Some(leader.since),
+            _ => None,
+        }
+    }
+
+    fn live_voters(&self, cx: &Cx<'_>) -> usize {
+        let voters = self.membership.voters.iter();
+        voters.filter(|voter| self.is_live(cx, voter)).count()
+    }
+
     /// Drops a member that an operator wants removed.
     fn removal(&self) -> Option<Step> {
         let Role::Leader(leader) = &self.role else {
@@ -119,7 +153,9 @@
         let wanted = |host: &HostId| {
             let mut members = self.membership.members();
             let mut calls = leader.waiting.iter().filter_map(|call| call.adds());
-            members.any(|member| member.host == *host) || calls.any(|added| added == host)
+            let room = self.live_voters(cx) < cx.settings.raft.voters_max;
+            let auto = cx.settings.raft.auto_members && room;
+            auto || members.any(|member| member.host == *host) || calls.any(|added| added == host)
         };
         let lasts = cx.settings.raft.heartbeat * HELLO_LASTS_HEARTBEATS;
         let strangers = self
--- a/crates/decide/src/raft_entry.rs
+++ b/crates/decide/src/raft_entry.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use model::HostId;
+use model::config::Replacement;
+use model::{HostId, Incarnation, ServiceId, UpstreamId};
 use serde::{Deserialize, Serialize};
 
 use crate::call::Patch;
@@ -50,12 +51,29 @@
     Noop,
     /// Offers a patch to the configuration.
     Patch(Arc<Patch>),
+    /// Replaces the whole configuration, if its version is higher.
+    Replace(Arc<Replacement>),
+    /// Numbers an order to the platform; the number is the index of this entry.
+    Order(OrderTicket),
     /// Gives a host a seat, if it has none yet.
     Seat(HostId),
     /// Replaces the membership; it counts from the moment it is in the log.
     Membership(Membership),
 }
 
+/// An order that a leader wants a number for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderTicket {
+    /// The host that leads.
+    pub host: HostId,
+    /// Which start of that host it is.
+    pub incarnation: Incarnation,
+    /// The service.
+    pub service: ServiceId,
+    /// The instance that shall become primary.
+    pub upstream: UpstreamId,
+}
+
 /// The state after an entry, which stands for all entries up to it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
--- a/crates/decide/src/raft_found.rs
+++ b/crates/decide/src/raft_found.rs
@@ -107,7 +107,7 @@
         let first = self.founders.iter().min() == Some(&self.me.host);
         // A store that has seen a term was asked for its vote by a cluster that is there.
         let untouched = self.hard.term == 0;
-        if !first || !untouched {
+        if !first || !untouched || !cx.settings.raft.found {
             return;
         }
         let others = self.founders.iter().filter(|host| **host != self.me.host);
--- a/crates/decide/src/raft_leader.rs
+++ b/crates/decide/src/raft_leader.rs
@@ -19,6 +19,8 @@
 pub(crate) struct Leader {
     pub(crate) peers: BTreeMap<Member, Peer>,
     pub(crate) heartbeat_at: Instant,
+    /// When it was elected.
+    pub(crate) since: Instant,
     /// Its first entry; once that is committed it knows all that was committed before.
     pub(crate) first: LogIndex,
     /// The newest round, and when those that aren't confirmed yet were started.
@@ -82,6 +84,7 @@
         Self {
             peers: members.map(|member| (member, Peer::new(last))).collect(),
             heartbeat_at: now,
+            since: now,
             first: last + 1,
             round: 0,
             started: VecDeque::new(),
--- a/crates/decide/src/raft_settings.rs
+++ b/crates/decide/src/raft_settings.rs
@@ -8,6 +8,15 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RaftSettings {
+    /// Whether stores found a cluster if all founders are new; not after a first start.
+    pub found: bool,
+    /// Whether control hosts become voters by themselves, and voters that are lost are dropped.
+    pub auto_members: bool,
+    /// How long a voter may be silent before another one can take its place.
+    #[serde(with = "humantime_serde")]
+    pub lost_after: Duration,
+    /// The most voters that the leader makes by itself.
+    pub voters_max: usize,
     /// How often a leader shows that it is there.
     #[serde(with = "humantime_serde")]
     pub heartbeat: Duration,
@@ -36,6 +45,10 @@
 impl Default for RaftSettings {
     fn default() -> Self {
         Self {
+            found: true,
+            auto_members: false,
+            lost_after: Duration::from_secs(6),
+            voters_max: 5,
             heartbeat: Duration::from_millis(50),
             election_min: Duration::from_millis(300),
             election_max: Duration::from_millis(600),
--- a/crates/decide/src/relay.rs
+++ b/crates/decide/src/relay.rs
@@ -1,5 +1,6 @@
 //! Statements on their way to an owner, and answers on their way back.
 
+use crate::owner_position::PositionMsg;
 use model::{Answer, ConnId, Refusal, Request, RequestId, SessionId, Term, UpstreamId};
 use serde::{Deserialize, Serialize};
 
@@ -29,6 +30,8 @@
         /// The sender's number of the request.
         id: RequestId,
     },
+    /// About the positions of primaries, between owners.
+    Position(PositionMsg),
     /// The caller of a pinned transaction is gone, so that it must be rolled back.
     Unpin {
         /// The upstream.
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -124,9 +124,15 @@
         service: &'a ServiceView,
         ignore_behind: bool,
     ) -> Vec<&'a UpstreamId> {
+        let primary = service.primary.as_ref().map(|(_, primary)| primary);
+        let stays = |id: &&UpstreamId| {
+            let up = view.upstreams.get(*id);
+            primary == Some(*id) || up.is_some_and(|up| !up.announcement.draining)
+        };
         service
             .upstreams
             .iter()
+            .filter(stays)
             .filter(|id| ignore_behind || !self.is_behind(now, id))
             .filter(|id| {
                 let up = view.upstreams.get(*id);
--- a/crates/decide/src/session.rs
+++ b/crates/decide/src/session.rs
@@ -3,10 +3,11 @@
 use std::fmt;
 use std::time::Duration;
 
-use model::{ConnId, key::split_password};
+use model::config::{ReadRule, Route};
+use model::{ConnId, Request, key::split_password};
 use model::{
-    HashMap, HostId, KeyId, PartAddr, Position, Refusal, RequestId, ServiceId, SessionId,
-    UpstreamId, Verdict, WorkspaceId,
+    HashMap, HostId, KeyDigest, KeyId, Kind, PartAddr, Position, Refusal, RequestId, RouteId,
+    ServiceId, SessionId, UpstreamId, Verdict, WorkspaceId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +47,8 @@
     pub workspace: WorkspaceId,
     /// The service that it reaches.
     pub service: ServiceId,
+    /// The route that it uses, if it named one.
+    pub route: Option<RouteId>,
     /// The key that it showed, or none on an open route.
     pub key: Option<KeyId>,
     /// The position that its reads must have reached.
@@ -71,6 +74,81 @@
     pub conn: ConnId,
 }
 
+impl Session {
+    /// Makes a request one of this session, by the rules of the route in force.
+    ///
+    /// A changed route counts from the next transaction on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal where the route is gone, or the transaction that the request continues.
+    pub(crate) fn dress(
+        &mut self,
+        view: &View,
+        default_max_age: Duration,
+        req: &mut Request,
+    ) -> Result<(), Refusal> {
+        req.workspace = self.workspace.clone();
+        req.floor = self.floor;
+        if let Some(name) = &self.route {
+            let route = view.config.routes.get(name);
+            let pinned = self.pin.is_some();
+            if let Some(route) = route {
+                if !pinned {
+                    self.service = route.service.clone();
+                }
+                follow_route(route, req);
+            } else if !pinned {
+                return Err(Refusal::NoRoute);
+            }
+            if req.continues && !pinned {
+                return Err(Refusal::TransactionLost);
+            }
+        } else if req.kind == Kind::Read && req.max_age.is_none() && self.floor.is_some() {
+            req.max_age = Some(default_max_age);
+        }
+        req.service = self.service.clone();
+        req.transaction |= self.pin.is_some();
+        Ok(())
+    }
+
+    /// Returns whether a request of this session needs no token of its own.
+    ///
+    /// On a route an operation counts once, and one without a key counts for nobody.
+    pub(crate) fn is_paid(&self) -> bool {
+        self.route.is_some() && (self.pin.is_some() || self.key.is_none())
+    }
+}
+
+/// Applies the rules of a route to a request.
+fn follow_route(route: &Route, req: &mut Request) {
+    req.timeout = route.timeout;
+    req.priority = route.priority;
+    (req.floor, req.max_age) = match route.reads {
+        ReadRule::Newest => (None, None),
+        ReadRule::Session { max_age } => (req.floor, Some(max_age)),
+        ReadRule::Bounded { max_age } => (None, Some(max_age)),
+    };
+}
+
+/// The account of requests on routes that need no key.
+pub const OPEN_WORKSPACE: &str = "-";
+
+/// Checks whom a login on a route admits, and on whose account.
+fn admit_on_route(
+    view: &View,
+    route: &RouteId,
+    secret: &str,
+) -> Result<(WorkspaceId, Option<KeyId>), Refusal> {
+    let route = view.config.routes.get(route).ok_or(Refusal::NoRoute)?;
+    let key = KeyDigest::of(secret).id();
+    match view.config.holder_of(&key) {
+        Some(workspace) => Ok((workspace.clone(), Some(key))),
+        None if route.open => Ok((OPEN_WORKSPACE.into(), None)),
+        None => Err(Refusal::BadKey),
+    }
+}
+
 /// Checks whom a login admits, and on whose account.
 ///
 /// # Errors
@@ -80,6 +158,9 @@
     if !view.usable {
         return Err(Refusal::NotReady);
     }
+    if let Some(route) = &login.route {
+        return admit_on_route(view, route, &login.password);
+    }
     let Some(name) = &login.workspace else {
         let open = view.config.open_routes.get(&login.service);
         return open
@@ -100,6 +181,9 @@
 
 /// Returns why a session may not go on under a configuration, if it may not.
 pub fn revoked(view: &View, session: &Session) -> Option<Refusal> {
+    if let Some(name) = &session.route {
+        return revoked_on_route(view, name, session);
+    }
     let Some(key) = &session.key else {
         let payer = view.config.open_routes.get(&session.service);
         return (payer != Some(&session.workspace)).then_some(Refusal::NotAllowed);
@@ -114,6 +198,20 @@
     (!allowed).then_some(Refusal::NotAllowed)
 }
 
+fn revoked_on_route(view: &View, name: &RouteId, session: &Session) -> Option<Refusal> {
+    let Some(route) = view.config.routes.get(name) else {
+        return Some(Refusal::NoRoute);
+    };
+    match &session.key {
+        Some(key) => {
+            let holder = view.config.workspaces.get(&session.workspace);
+            let held = holder.is_some_and(|holder| holder.keys.contains_key(key));
+            (!held).then_some(Refusal::BadKey)
+        }
+        None => (!route.open).then_some(Refusal::BadKey),
+    }
+}
+
 /// The sessions of one traffic part.
 #[derive(Debug, Default)]
 pub struct Sessions {
@@ -133,6 +231,7 @@
             let entry = Session {
                 workspace,
                 service: login.service.clone(),
+                route: login.route.clone(),
                 key,
                 floor: login.token,
                 pin: None,
@@ -145,7 +244,7 @@
         cx.note(SessionNote::Login {
             session,
             workspace: login.workspace,
-            service: login.service,
+            service: login.route.unwrap_or(login.service),
             refusal: result.err(),
         });
         cx.emit(Effect::Admit { session, result });
@@ -169,7 +268,7 @@
     /// Ends the sessions that a new configuration no longer allows.
     pub fn sync(&mut self, cx: &mut Cx<'_>, view: &View) {
         for (id, session) in &mut self.all {
-            if session.ending.is_none() {
+            if !matches!(session.ending, Some(Refusal::NotReady)) {
                 session.ending = revoked(view, session);
             }
             end_if_idle(cx, *id, session);
@@ -213,6 +312,11 @@
     }
 }
 
+/// Returns whether a session that ends for a reason may finish its transaction first.
+pub(crate) fn is_graceful(refusal: Refusal) -> bool {
+    matches!(refusal, Refusal::NotReady | Refusal::NoRoute)
+}
+
 /// Ends a session that should end, once nothing runs and no transaction is open.
 ///
 /// A withdrawn key does not wait for the end of a transaction.
@@ -220,7 +324,7 @@
     let Some(refusal) = session.ending else {
         return;
     };
-    let graceful = refusal == Refusal::NotReady;
+    let graceful = is_graceful(refusal);
     if session.running.is_none() && !(graceful && session.pin.is_some()) {
         cx.note(SessionNote::Ended {
             session: id,
--- a/crates/decide/src/spread.rs
+++ b/crates/decide/src/spread.rs
@@ -217,6 +217,19 @@
         }
     }
 
+    /// Returns the control hosts: those alive, and those that the settings name.
+    pub fn control_hosts(&self) -> Vec<HostId> {
+        let live = self.tables.hosts().values().filter(|info| info.control);
+        let live = live.map(|info| info.host.clone());
+        let mut hosts: Vec<HostId> = live.chain(self.seeds.keys().cloned()).collect();
+        if self.me.control {
+            hosts.push(self.me.host.clone());
+        }
+        hosts.sort();
+        hosts.dedup();
+        hosts
+    }
+
     /// Returns the tables behind the view, without a copy.
     pub fn tables(&self) -> &Tables {
         &self.tables
--- a/crates/decide/src/spread_announce.rs
+++ b/crates/decide/src/spread_announce.rs
@@ -8,6 +8,9 @@
 use crate::spread_lease::Due;
 use crate::spread_msg::SpreadMsg;
 
+/// What is added to a sequence by a withdrawal, more than an upstream announces in its life.
+const LAST_SEQUENCE: u64 = 1 << 32;
+
 impl Spread {
     /// Takes an announcement that the platform hands to this host.
     pub fn announce(&mut self, cx: &mut Cx<'_>, announcement: Announcement) {
@@ -28,6 +31,16 @@
         self.finish(cx);
     }
 
+    /// Takes the word that an upstream is gone, which comes after all that it has announced.
+    pub fn withdraw(&mut self, cx: &mut Cx<'_>, upstream: &UpstreamId) {
+        if let Some((known, true)) = self.upstream_fact(upstream) {
+            let mut last = known.clone();
+            last.sequence += LAST_SEQUENCE;
+            last.leaving = true;
+            self.announce(cx, last);
+        }
+    }
+
     /// Takes an announcement as an owner of the upstream.
     pub(crate) fn take_announcement(&mut self, cx: &mut Cx<'_>, announcement: &Announcement) {
         let live = !announcement.leaving;
@@ -112,7 +125,7 @@
         let Some(mine) = self.leases.get(&theirs.upstream) else {
             return;
         };
-        if mine.sequence > theirs.sequence {
+        if mine.stamp() > theirs.stamp() {
             let announcement = mine.clone();
             let live = true;
             self.merge(cx, Fact::Upstream { announcement, live }, None);
@@ -131,7 +144,7 @@
 
 /// Returns whether what is known makes an announcement out of date.
 fn outdates(known: &Announcement, live: bool, new: &Announcement) -> bool {
-    known.sequence > new.sequence || (known.sequence == new.sequence && !live)
+    known.stamp() > new.stamp() || (known.stamp() == new.stamp() && !live)
 }
 
 fn same_but_sequence(known: &Announcement, new: &Announcement) -> bool {
--- a/crates/decide/src/spread_config.rs
+++ b/crates/decide/src/spread_config.rs
@@ -145,7 +145,7 @@
     /// Returns until when the host may serve by the configuration in force.
     pub fn usable_until(&self, settings: &SpreadSettings) -> Option<Instant> {
         let confirmed = self.confirmed.filter(|_| self.in_force)?;
-        Some(confirmed + holder_lease(settings.config_grace))
+        Some(confirmed + holder_lease(settings.grace()))
     }
 
     /// Returns the moment at which to look again, unless a message comes first.
--- a/crates/decide/src/spread_delta.rs
+++ b/crates/decide/src/spread_delta.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use model::config::{Service, Workspace};
-use model::{Config, ConfigVersion, ServiceId, WorkspaceId};
+use model::config::{Route, Service, Workspace};
+use model::{Config, ConfigVersion, RouteId, ServiceId, WorkspaceId};
 use serde::{Deserialize, Serialize};
 
 /// The entries of a configuration that differ from an earlier one; none stands for a removed one.
@@ -16,6 +16,7 @@
     workspaces: BTreeMap<WorkspaceId, Option<Workspace>>,
     services: BTreeMap<ServiceId, Option<Service>>,
     open_routes: BTreeMap<ServiceId, Option<WorkspaceId>>,
+    routes: BTreeMap<RouteId, Option<Route>>,
 }
 
 impl ConfigDelta {
@@ -27,6 +28,7 @@
             workspaces: differing(&old.workspaces, &new.workspaces),
             services: differing(&old.services, &new.services),
             open_routes: differing(&old.open_routes, &new.open_routes),
+            routes: differing(&old.routes, &new.routes),
         }
     }
 
@@ -41,6 +43,7 @@
         replace(&mut config.workspaces, &self.workspaces);
         replace(&mut config.services, &self.services);
         replace(&mut config.open_routes, &self.open_routes);
+        replace(&mut config.routes, &self.routes);
     }
 
     /// Adds a later difference to this one.
@@ -49,6 +52,7 @@
         self.workspaces.extend(later.workspaces.clone());
         self.services.extend(later.services.clone());
         self.open_routes.extend(later.open_routes.clone());
+        self.routes.extend(later.routes.clone());
     }
 }
 
--- a/crates/decide/src/spread_facts.rs
+++ b/crates/decide/src/spread_facts.rs
@@ -97,7 +97,9 @@
                 alive,
                 ..
             } => (info.incarnation, *sequence, !alive, ""),
-            Self::Upstream { announcement, live } => (announcement.sequence, 0, !live, ""),
+            Self::Upstream { announcement, live } => {
+                (announcement.incarnation, announcement.sequence, !live, "")
+            }
         }
     }
 
--- a/crates/decide/src/spread_lease.rs
+++ b/crates/decide/src/spread_lease.rs
@@ -43,7 +43,7 @@
     /// Gives or renews a lease, and returns false if the announcement is no newer.
     pub fn renew(&mut self, announcement: &Announcement, now: Instant, lease: Duration) -> bool {
         let known = self.get(&announcement.upstream);
-        if known.is_some_and(|known| known.sequence >= announcement.sequence) {
+        if known.is_some_and(|known| known.stamp() >= announcement.stamp()) {
             return false;
         }
         self.end(&announcement.upstream);
--- a/crates/decide/src/spread_settings.rs
+++ b/crates/decide/src/spread_settings.rs
@@ -25,6 +25,9 @@
     /// How long a host serves by a configuration that no quorum has confirmed since.
     #[serde(with = "humantime_serde")]
     pub config_grace: Duration,
+    /// How soon a withdrawn key must stop working on every host; bounds `config_grace`.
+    #[serde(with = "humantime_serde")]
+    pub revoke_within: Option<Duration>,
     /// How recent a confirmation must be for a host that starts.
     #[serde(with = "humantime_serde")]
     pub fresh_within: Duration,
@@ -47,6 +50,7 @@
             relay_fanout: 24,
             announce_lease: Duration::from_secs(3),
             config_grace: Duration::from_secs(24 * 3600),
+            revoke_within: None,
             fresh_within: Duration::from_secs(5),
             startup_wait: Duration::from_secs(3),
             config_history: 1024,
@@ -54,3 +58,14 @@
         }
     }
 }
+
+/// The part of `revoke_within` that a host may use up before it refuses requests, in fifths.
+const REVOKE_FIFTHS: u32 = 4;
+
+impl SpreadSettings {
+    /// Returns how long a host serves by a configuration that no quorum has confirmed since.
+    pub fn grace(&self) -> Duration {
+        let bound = self.revoke_within.map(|within| within * REVOKE_FIFTHS / 5);
+        bound.map_or(self.config_grace, |bound| bound.min(self.config_grace))
+    }
+}
--- a/crates/decide/src/tokens.rs
+++ b/crates/decide/src/tokens.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// Replaces the hosts that may know who leads.
+    pub(crate) fn set_voters(&mut self, voters: Vec<HostId>) {
+        self.finder.set_voters(voters);
+    }
+
     /// Returns the moment at which something is due.
     pub(crate) fn wake_at(&self) -> Option<Instant> {
         let holder = self.holder.wake_at();
--- a/crates/decide/src/traffic.rs
+++ b/crates/decide/src/traffic.rs
@@ -74,6 +74,9 @@
                 .on_feed(cx, &self.view, &mut self.sessions, &feed),
             Event::AwaitCommit(wait) => self.await_commit(cx, wait),
             Event::Told { id, result } => {
+                if self.owners.on_told(cx, id, &result) {
+                    return;
+                }
                 let resolved = self.commits.on_told(cx, id, result);
                 self.resolve(cx, resolved);
             }
@@ -82,6 +85,7 @@
             Event::Peer { .. }
             | Event::Undelivered { .. }
             | Event::Call { .. }
+            | Event::Ordered { .. }
             | Event::Needed(_)
             | Event::Stored(_)
             | Event::Learned(_)
@@ -98,6 +102,7 @@
     fn tick(&mut self, cx: &mut Cx<'_>) {
         self.entry.tick(cx, &self.view, &mut self.sessions);
         self.owners.on_tick(cx);
+        self.owners.refresh(cx, &self.view);
         let resolved = self.commits.on_tick(cx);
         self.resolve(cx, resolved);
     }
@@ -138,6 +143,7 @@
             RelayMsg::Answer { id, answer, pin } => {
                 self.entry.answer(cx, &mut self.sessions, id, answer, pin);
             }
+            RelayMsg::Position(msg) => self.owners.on_position(cx, &self.view, &from, msg),
             RelayMsg::Bounce { id, why } => self.bounced(cx, id, why),
         }
     }
@@ -208,6 +214,7 @@
         self.resolve(cx, resolved);
         self.sessions.sync(cx, &self.view);
         self.owners.sync(cx, &self.view);
+        self.owners.refresh(cx, &self.view);
         self.entry.sync(cx, &self.view, &mut self.sessions);
     }
 
--- a/crates/decide/tests/commit.rs
+++ b/crates/decide/tests/commit.rs
@@ -48,6 +48,10 @@
                 slots: 3,
                 connections: 50,
                 sequence: 1,
+                incarnation: 0,
+                role: None,
+                warming: false,
+                draining: false,
                 leaving: false,
             };
             let owners = Vec::new();
@@ -151,6 +155,7 @@
 
 fn told(term: Term, log_term: Term, offset: u64) -> Result<Told, AskError> {
     Ok(Told {
+        held: 0,
         status: status(Role::Replica, term, log_term, offset),
         granted: true,
         claim: None,
--- a/crates/decide/tests/group/host.rs
+++ b/crates/decide/tests/group/host.rs
@@ -269,6 +269,10 @@
         slots: SLOTS,
         connections: 40,
         sequence: 1,
+        incarnation: 0,
+        role: None,
+        warming: false,
+        draining: false,
         leaving: instance.leaving,
     }
 }
--- a/crates/decide/tests/group/instance.rs
+++ b/crates/decide/tests/group/instance.rs
@@ -115,6 +115,7 @@
             Ask::Follow { term, primary, .. } => self.follow(*term, primary),
         };
         Told {
+            held: 0,
             status: self.status(now),
             granted,
             claim,
--- a/crates/decide/tests/owner_harness/mod.rs
+++ b/crates/decide/tests/owner_harness/mod.rs
@@ -179,6 +179,10 @@
             slots: 3,
             connections: 50,
             sequence: 1,
+            incarnation: 0,
+            role: None,
+            warming: false,
+            draining: false,
             leaving: false,
         };
         let owners = vec!["me".into()];
@@ -240,6 +244,9 @@
                     _ => Kind::Read,
                 },
                 transaction: line.has("tx"),
+                continues: false,
+                read_only: false,
+                priority: 0,
                 repeatable: line.has("repeatable"),
                 timeout: duration(line.get("timeout", "5s")),
                 max_age: line.find("max-age").map(duration),
--- a/crates/decide/tests/spread_net/fleet.rs
+++ b/crates/decide/tests/spread_net/fleet.rs
@@ -160,6 +160,10 @@
         slots: 3,
         connections: 50,
         sequence,
+        incarnation: 0,
+        role: None,
+        warming: false,
+        draining: false,
         leaving: false,
     }
 }
--- a/crates/decide/tests/spread_place.rs
+++ b/crates/decide/tests/spread_place.rs
@@ -29,6 +29,10 @@
         slots: 3,
         connections: 50,
         sequence: 1,
+        incarnation: 0,
+        role: None,
+        warming: false,
+        draining: false,
         leaving: false,
     }
 }
--- a/crates/host/src/ask.rs
+++ b/crates/host/src/ask.rs
@@ -1,30 +1,26 @@
 //! Asks an upstream questions over one connection of its own.
 
-use std::net::SocketAddr;
+use std::marker::PhantomData;
 use std::rc::Rc;
 use std::time::Duration;
 
 use decide::ask::{Ask, AskError, AskId, Told};
 use decide::{Effect, Event, View};
-use futures::{SinkExt, StreamExt};
-use model::{Claim, HashMap, PartId, ServiceId, UpstreamId};
-use pg::status::{StatusRow, read_row, status_sql};
-use pg::upstream::encode_query;
-use pgwire::messages::PgWireBackendMessage;
+use model::{HashMap, PartId, UpstreamId};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
+use crate::adapter::{Adapter, Target, UpstreamConn};
 use crate::input::Inboxes;
 use crate::settings::UpstreamSettings;
-use crate::upstream::{LoginError, UpstreamStream, login};
 
 /// One question for an upstream.
 #[derive(Debug)]
 struct AskJob {
     /// Identifies the answer.
     id: AskId,
-    /// Where the upstream listens.
-    addr: SocketAddr,
+    /// The upstream.
+    target: Target,
     /// The question.
     ask: Ask,
     /// Takes a new connection rather than the open one.
@@ -34,47 +30,38 @@
 }
 
 /// Asks one upstream, a question at a time, until the other end of the queue is dropped.
-async fn run(
+async fn run<A: Adapter>(
     mut jobs: mpsc::UnboundedReceiver<AskJob>,
     cfg: Rc<UpstreamSettings>,
     inboxes: Inboxes,
     part: PartId,
 ) {
-    let mut stream = None;
+    let mut conn = None;
     while let Some(job) = jobs.recv().await {
         if job.fresh {
-            stream = None;
+            conn = None;
         }
         let id = job.id;
-        let result = answer(&mut stream, &job, &cfg).await;
+        let result = answer::<A>(&mut conn, &job, &cfg).await;
         if result.is_err() {
-            stream = None;
+            conn = None;
         }
         inboxes.event(part, Event::Told { id, result });
     }
 }
 
-async fn answer(
-    stream: &mut Option<UpstreamStream>,
+async fn answer<A: Adapter>(
+    conn: &mut Option<A::Conn>,
     job: &AskJob,
     cfg: &UpstreamSettings,
 ) -> Result<Told, AskError> {
-    let known = stream.is_some();
+    let known = conn.is_some();
     let whole = async {
-        let service: ServiceId = "postgres".into();
-        let open = match stream.take() {
+        let open = match conn.take() {
             Some(open) => open,
-            None => {
-                let opened = login(job.addr, &service, cfg, job.timeout).await;
-                opened.map_err(|error| match error {
-                    LoginError::Unreachable => AskError::Unreachable,
-                    LoginError::Exhausted | LoginError::Refused(_) => AskError::Refused,
-                })?
-            }
+            None => A::connect(&job.target, cfg, job.timeout).await?,
         };
-        let open = stream.insert(open);
-        let row = ask_once(open, &job.ask).await?;
-        Ok(told(&job.ask, row))
+        conn.insert(open).ask(&job.ask).await
     };
     let result = tokio::time::timeout(job.timeout, whole).await;
     let silent = if known {
@@ -85,89 +72,17 @@
     result.unwrap_or(Err(silent))
 }
 
-async fn ask_once(stream: &mut UpstreamStream, ask: &Ask) -> Result<StatusRow, AskError> {
-    let query = encode_query(&sql(ask)).map_err(|_| AskError::Refused)?;
-    stream.send(query).await.map_err(|_| AskError::Broken)?;
-    let mut row = None;
-    let mut refused = false;
-    loop {
-        let msg = stream.next().await.ok_or(AskError::Broken)?;
-        match msg.map_err(|_| AskError::Broken)? {
-            PgWireBackendMessage::DataRow(data) => row = read_row(&data),
-            PgWireBackendMessage::ErrorResponse(_) => refused = true,
-            PgWireBackendMessage::ReadyForQuery(_) => break,
-            _ => {}
-        }
-    }
-    if refused {
-        return Err(AskError::Refused);
-    }
-    row.ok_or(AskError::Refused)
-}
-
-fn told(ask: &Ask, row: StatusRow) -> Told {
-    let claim = match ask {
-        Ask::Claim { host, lease } if row.granted => Some(Claim {
-            host: host.clone(),
-            slots: row.slots,
-            connections: row.connections,
-            lease: *lease,
-        }),
-        _ => None,
-    };
-    Told {
-        status: row.status,
-        granted: row.granted,
-        claim,
-    }
-}
-
-/// Returns a question as SQL.
-fn sql(ask: &Ask) -> String {
-    match ask {
-        Ask::Status { wait_for } => status_sql(*wait_for),
-        Ask::Claim { host, lease } => {
-            let lease = lease.as_millis();
-            format!("SELECT * FROM caraway.claim({}, {lease})", quote(host))
-        }
-        Ask::Unclaim { host } => format!("SELECT * FROM caraway.unclaim({})", quote(host)),
-        Ask::Promise { term, candidate } => {
-            format!(
-                "SELECT * FROM caraway.promise({term}, {})",
-                quote(candidate)
-            )
-        }
-        Ask::Promote { term, candidate } => {
-            format!(
-                "SELECT * FROM caraway.promote({term}, {})",
-                quote(candidate)
-            )
-        }
-        Ask::Follow {
-            term,
-            primary,
-            addr,
-        } => {
-            let (primary, addr) = (quote(primary), quote(&addr.to_string()));
-            format!("SELECT * FROM caraway.follow({term}, {primary}, {addr})")
-        }
-    }
-}
-
-fn quote(text: &str) -> String {
-    format!("'{}'", text.replace('\'', "''"))
-}
-
 /// The questions of one thread, with a task for each upstream.
 #[derive(Debug)]
-pub(crate) struct Asks {
+pub(crate) struct Asks<A> {
     part: PartId,
     inboxes: Inboxes,
     cfg: Rc<UpstreamSettings>,
     queues: HashMap<UpstreamId, mpsc::UnboundedSender<AskJob>>,
+    adapter: PhantomData<A>,
 }
 
-impl Asks {
+impl<A: Adapter> Asks<A> {
     /// Returns the questions of a thread, none so far.
     pub(crate) fn new(part: PartId, inboxes: Inboxes, cfg: Rc<UpstreamSettings>) -> Self {
         Self {
@@ -175,6 +90,7 @@
             inboxes,
             cfg,
             queues: HashMap::default(),
+            adapter: PhantomData,
         }
     }
 
@@ -183,6 +99,7 @@
         let Effect::Ask {
             id,
             upstream,
+            service,
             addr,
             ask,
             fresh,
@@ -193,14 +110,25 @@
         };
         let job = AskJob {
             id,
-            addr,
+            target: Target {
+                addr,
+                upstream: upstream.clone(),
+                service,
+                workspace: None,
+                control: true,
+            },
             ask,
             fresh,
             timeout,
         };
         let queue = self.queues.entry(upstream).or_insert_with(|| {
             let (tx, rx) = mpsc::unbounded_channel();
-            tasks.spawn_local(run(rx, self.cfg.clone(), self.inboxes.clone(), self.part));
+            tasks.spawn_local(run::<A>(
+                rx,
+                self.cfg.clone(),
+                self.inboxes.clone(),
+                self.part,
+            ));
             tx
         });
         let _ = queue.send(job);
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
 
 use decide::control::Control;
 use decide::raft::Recovered;
@@ -20,6 +20,8 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{JoinSet, LocalSet};
 
+use crate::adapter::{Adapter, Calls};
+use crate::clock;
 use crate::disk::Disk;
 use crate::input::{Inboxes, Input, Runner};
 use crate::metrics::Metrics;
@@ -30,8 +32,6 @@
 use crate::thread_traffic::TrafficRunner;
 use crate::{listen, metrics_http, part};
 
-/// How long a leaving host waits for its callers and transactions.
-const LEAVE_TIMEOUT: Duration = Duration::from_secs(30);
 /// How long the control thread of a leaving host may take to give everything back.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -57,6 +57,7 @@
     listeners: JoinSet<()>,
     rpc: ServerHandle,
     counted: Arc<Metrics>,
+    leave_timeout: Duration,
 }
 
 /// A thread that runs one part.
@@ -74,7 +75,7 @@
     /// # Errors
     ///
     /// Fails if an address is taken, or if the data folder can't be used.
-    pub async fn start(cfg: HostSettings) -> eyre::Result<Running> {
+    pub async fn start<A: Adapter>(cfg: HostSettings) -> eyre::Result<Running> {
         let callers = bind("listen.callers", cfg.listen.callers).await?;
         let peers = bind("listen.peers", cfg.listen.peers).await?;
         let metrics_listener = bind("listen.metrics", cfg.listen.metrics).await?;
@@ -89,11 +90,13 @@
         let (inboxes, mut rxs) = inboxes(&cfg);
         let info = host_info(&cfg, peer_addr);
         let control_rx = rxs.remove(0);
-        let control = start_control(&cfg, &info, &inboxes, control_rx, &metrics)?;
+        let control = start_control::<A>(&cfg, &info, &inboxes, control_rx, &metrics)?;
         let mut traffic = Vec::new();
         for (nth, rx) in rxs.into_iter().enumerate() {
             let part = FIRST_TRAFFIC + u16::try_from(nth)?;
-            traffic.push(start_traffic(&cfg, &info, &inboxes, part, rx, &metrics)?);
+            traffic.push(start_traffic::<A>(
+                &cfg, &info, &inboxes, part, rx, &metrics,
+            )?);
         }
 
         let (stop, stopped) = watch::channel(false);
@@ -105,12 +108,22 @@
             secret,
             stopped.clone(),
         ));
-        let serving = metrics_http::serve(metrics_listener, metrics.clone(), stopped.clone());
+        let serving = metrics_http::serve(
+            metrics_listener,
+            metrics.clone(),
+            cfg.listen.ready_path.as_str().into(),
+            stopped.clone(),
+        );
         listeners.spawn(serving);
+        let calls = Calls::new(inboxes.clone());
+        if let Some(addr) = cfg.listen.platform {
+            let platform = bind("listen.platform", addr).await?;
+            listeners.spawn(A::serve_calls(platform, calls.clone(), stopped.clone()));
+        }
         if cfg.entry {
             listeners.spawn(listen::callers(callers, inboxes.clone(), stopped));
         }
-        let rpc = server.start(Rpc::new(inboxes.clone()).into_rpc());
+        let rpc = server.start(Rpc::new(calls).into_rpc());
         log::info!(
             "event=700 started host={} data_centre={} callers={caller_addr} peers={peer_addr} api={api} metrics={metrics_addr}",
             cfg.host,
@@ -128,6 +141,7 @@
             listeners,
             rpc,
             counted: metrics,
+            leave_timeout: cfg.leave_timeout,
         })
     }
 }
@@ -137,7 +151,7 @@
     pub async fn stop(mut self) {
         self.counted.leaving.set(1);
         self.inboxes.event_to_all(&Event::Leave);
-        let deadline = tokio::time::Instant::now() + LEAVE_TIMEOUT;
+        let deadline = tokio::time::Instant::now() + self.leave_timeout;
         for thread in &mut self.traffic {
             let _ = tokio::time::timeout_at(deadline, &mut thread.ended).await;
         }
@@ -184,7 +198,7 @@
 }
 
 /// Starts the control thread, and recovers its state from the data folder.
-fn start_control(
+fn start_control<A: Adapter>(
     cfg: &HostSettings,
     info: &HostInfo,
     inboxes: &Inboxes,
@@ -192,19 +206,30 @@
     metrics: &Arc<Metrics>,
 ) -> eyre::Result<PartThread> {
     let (disk, recovered) = open_disk(cfg, inboxes)?;
-    let seeds = cfg.control_hosts.iter().map(|control| Seed {
-        host: control.host.clone(),
-        addr: control.peers,
-    });
-    let control = Control::new(info, seeds.collect(), recovered, Instant::now());
+    let seeds = seeds(cfg, info);
+    let control = Control::new(info, seeds, recovered, clock::now());
     let state = state(cfg, info, CONTROL, Part::Control(Box::new(control)));
     let (cfg, inboxes) = (cfg.clone(), inboxes.clone());
     let tally = Tally::new(metrics.clone());
     start_thread("control".to_owned(), state, rx, tally, move || {
-        ControlRunner::new(&cfg, inboxes, disk)
+        ControlRunner::<A>::new(&cfg, inboxes, disk)
     })
 }
 
+/// Returns the control hosts that the settings name, or that are named by their addresses.
+pub(crate) fn seeds(cfg: &HostSettings, info: &HostInfo) -> Vec<Seed> {
+    let named = cfg.control_hosts.iter().map(|control| Seed {
+        host: control.host.clone(),
+        addr: control.peers,
+    });
+    let port = info.peer_addr.port();
+    let found = cfg.seeds.iter().map(|seed| Seed {
+        host: seed.ip().to_string().into(),
+        addr: SocketAddr::new(seed.ip(), port),
+    });
+    named.chain(found).collect()
+}
+
 fn open_disk(cfg: &HostSettings, inboxes: &Inboxes) -> eyre::Result<(Disk, Option<Recovered>)> {
     if !cfg.control {
         return Ok((Disk::none(), None));
@@ -217,7 +242,7 @@
     Ok((disk, Some(recovered)))
 }
 
-fn start_traffic(
+fn start_traffic<A: Adapter>(
     cfg: &HostSettings,
     info: &HostInfo,
     inboxes: &Inboxes,
@@ -234,7 +259,7 @@
     let (cfg, inboxes) = (cfg.clone(), inboxes.clone());
     let tally = Tally::new(metrics.clone());
     start_thread(format!("traffic-{part}"), state, rx, tally, move || {
-        TrafficRunner::new(part, &cfg, inboxes)
+        TrafficRunner::<A>::new(part, &cfg, inboxes)
     })
 }
 
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,7 +1,8 @@
 //! One host of the fleet: its threads, its sockets and the effects that they run.
 
+pub mod adapter;
 mod ask;
-mod caller;
+mod clock;
 mod conn;
 pub mod daemon;
 mod disk;
@@ -13,12 +14,16 @@
 mod metrics_http;
 mod metrics_tally;
 mod part;
+mod pg_caller;
+mod pg_upstream;
+mod postgres;
 mod rpc;
 pub mod settings;
 pub mod settings_file;
+pub mod sockets;
 mod thread_control;
 mod thread_traffic;
-mod upstream;
 
 pub use daemon::{Daemon, Running};
+pub use postgres::Postgres;
 pub use settings::HostSettings;
--- a/crates/host/src/link.rs
+++ b/crates/host/src/link.rs
@@ -16,6 +16,7 @@
 
 use crate::input::Inboxes;
 use crate::settings::Secret;
+use crate::sockets;
 
 /// How long a new link may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -126,7 +127,7 @@
         let addr = *self.addr.borrow_and_update();
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
         let stream = stream.ok()?.ok()?;
-        let _ = stream.set_nodelay(true);
+        sockets::tune_or_warn(&stream);
         let mut stream = Framed::new(stream, frame::codec());
         let hello = Hello {
             version: frame::VERSION,
--- a/crates/host/src/listen.rs
+++ b/crates/host/src/listen.rs
@@ -12,6 +12,7 @@
 use crate::input::{Inboxes, Input};
 use crate::link::read_hello;
 use crate::settings::Secret;
+use crate::sockets;
 
 /// How long to wait after an accept has failed, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -59,7 +60,7 @@
         };
         let (inboxes, secret) = (inboxes.clone(), secret.clone());
         hellos.spawn(async move {
-            let _ = stream.set_nodelay(true);
+            sockets::tune_or_warn(&stream);
             let Some((hello, stream, rest)) = read_hello(stream).await else {
                 log::warn!("event=521 link-refused addr={addr} reason=bad-hello");
                 return;
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -14,9 +14,10 @@
 type Counters<const N: usize> = HashMap<[Label; N], Counter>;
 
 /// Every refusal that a caller can get.
-const REFUSALS: [Refusal; 9] = [
+const REFUSALS: [Refusal; 10] = [
     Refusal::BadKey,
     Refusal::NotAllowed,
+    Refusal::NoRoute,
     Refusal::OverRate,
     Refusal::Overloaded,
     Refusal::NoPrimary,
@@ -28,7 +29,7 @@
 /// The roles that a request's upstream can have, or none where none was asked.
 const ROLES: [Option<Role>; 3] = [None, Some(Role::Primary), Some(Role::Replica)];
 /// The names of the queries that upstreams are asked.
-const QUERIES: [&str; 7] = [
+const QUERIES: [&str; 9] = [
     "statement",
     "status",
     "claim",
@@ -36,6 +37,8 @@
     "promise",
     "promote",
     "follow",
+    "pause",
+    "resume",
 ];
 
 /// What was refused.
@@ -129,6 +132,8 @@
             Ask::Promise { .. } => "promise",
             Ask::Promote { .. } => "promote",
             Ask::Follow { .. } => "follow",
+            Ask::Pause { .. } => "pause",
+            Ask::Resume => "resume",
         };
         count(&self.queries, &query_label(kind));
     }
@@ -217,6 +222,7 @@
     let reason = match refusal {
         Refusal::BadKey => "bad_key",
         Refusal::NotAllowed => "not_allowed",
+        Refusal::NoRoute => "no_route",
         Refusal::OverRate => "over_rate",
         Refusal::Overloaded => "overloaded",
         Refusal::NoPrimary => "no_primary",
--- a/crates/host/src/metrics_http.rs
+++ b/crates/host/src/metrics_http.rs
@@ -33,6 +33,7 @@
 pub(crate) async fn serve(
     listener: TcpListener,
     metrics: Arc<Metrics>,
+    ready_path: Arc<str>,
     mut stop: watch::Receiver<bool>,
 ) {
     let mut connections = JoinSet::new();
@@ -44,7 +45,7 @@
         while connections.try_join_next().is_some() {}
         match accepted {
             Ok((stream, _)) if connections.len() < MAX_CONNECTIONS => {
-                connections.spawn(connection(stream, metrics.clone()));
+                connections.spawn(connection(stream, metrics.clone(), ready_path.clone()));
             }
             Ok(_) => {}
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
@@ -53,9 +54,9 @@
     connections.shutdown().await;
 }
 
-async fn connection(stream: TcpStream, metrics: Arc<Metrics>) {
+async fn connection(stream: TcpStream, metrics: Arc<Metrics>, ready_path: Arc<str>) {
     let service = service_fn(|req| {
-        let response = respond(&req, &metrics);
+        let response = respond(&req, &metrics, &ready_path);
         async { Ok::<_, Infallible>(response) }
     });
     let serving = http1::Builder::new()
@@ -65,7 +66,7 @@
     let _ = tokio::time::timeout(CONNECTION_TIMEOUT, serving).await;
 }
 
-fn respond(req: &Request<Incoming>, metrics: &Metrics) -> Response<Full<Bytes>> {
+fn respond(req: &Request<Incoming>, metrics: &Metrics, ready_path: &str) -> Response<Full<Bytes>> {
     if !matches!(*req.method(), Method::GET | Method::HEAD) {
         return response(StatusCode::METHOD_NOT_ALLOWED, PLAIN, "only GET\n");
     }
@@ -74,9 +75,15 @@
             Ok(text) => response(StatusCode::OK, OPEN_METRICS, text),
             Err(_) => response(StatusCode::INTERNAL_SERVER_ERROR, PLAIN, "no metrics\n"),
         },
-        "/ready" if metrics.ready() => response(StatusCode::OK, PLAIN, "ready\n"),
-        "/ready" => response(StatusCode::SERVICE_UNAVAILABLE, PLAIN, "not ready\n"),
-        _ => response(StatusCode::NOT_FOUND, PLAIN, "/metrics or /ready\n"),
+        path if path == ready_path && metrics.ready() => response(StatusCode::OK, PLAIN, "ready\n"),
+        path if path == ready_path => {
+            response(StatusCode::SERVICE_UNAVAILABLE, PLAIN, "not ready\n")
+        }
+        _ => response(
+            StatusCode::NOT_FOUND,
+            PLAIN,
+            format!("/metrics or {ready_path}\n"),
+        ),
     }
 }
 
--- a/crates/host/src/part.rs
+++ b/crates/host/src/part.rs
@@ -1,10 +1,9 @@
 //! The loop of one thread: an event in, effects out.
 
-use std::time::Instant;
-
 use decide::{Effect, Event, State, reduce};
 use tokio::sync::mpsc;
 
+use crate::clock;
 use crate::input::{Input, Runner};
 use crate::metrics_tally::Tally;
 
@@ -21,7 +20,7 @@
             break;
         };
         tally.event(&event);
-        reduce(&mut state, Instant::now(), event, &mut effects);
+        reduce(&mut state, clock::now(), event, &mut effects);
         let mut left = false;
         for effect in effects.drain(..) {
             tally.effect(&effect);
@@ -42,7 +41,7 @@
     runner: &mut R,
 ) -> Option<Event> {
     let wake_at = state.wake_at();
-    if wake_at.is_some_and(|at| at <= Instant::now()) {
+    if wake_at.is_some_and(|at| at <= clock::now()) {
         // Lets the thread's own tasks run between two overdue ticks.
         tokio::task::yield_now().await;
         return Some(Event::Tick);
@@ -52,7 +51,7 @@
             None => inbox.recv().await,
             Some(at) => tokio::select! {
                 input = inbox.recv() => input,
-                () = tokio::time::sleep_until(at.into()) => return Some(Event::Tick),
+                () = tokio::time::sleep(at.saturating_duration_since(clock::now())) => return Some(Event::Tick),
             },
         };
         if let Some(event) = runner.take(input?) {
--- a/crates/host/src/caller.rs
+++ b/crates/host/src/pg_caller.rs
@@ -1,14 +1,12 @@
-//! One caller's connection.
+//! One PostgreSQL caller's connection.
 
 use std::collections::VecDeque;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use decide::Event;
-use decide::caller::{CallerEvent, Login};
+use decide::caller::Login;
 use futures::{SinkExt, StreamExt};
-use model::{Answer, PartId, Refusal, RequestId, SessionId, TxStatus};
+use model::{RequestId, SessionId, TxStatus};
 use pg::codec::{CodecError, FrontCodec, encode_back};
 use pg::front::{Front, Hello, Step, read_hello};
 use pg::reply;
@@ -16,43 +14,19 @@
 use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus, SecretKey};
 use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage, SslNegotiationMetaMessage};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
-use crate::input::Inboxes;
-use crate::settings::CallerSettings;
+use crate::adapter::{Caller, ToCaller};
 
 /// How many messages are read ahead while a request runs.
 const READ_AHEAD: usize = 64;
 /// How long a last word to a caller may take.
 const GOODBYE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// What the reducer has for a caller.
-#[derive(Debug)]
-pub(crate) enum ToCaller {
-    /// The login was admitted or turned away.
-    Admitted(Result<(), Refusal>),
-    /// The answer to a request.
-    Answer(RequestId, Answer),
-    /// The session ends.
-    End(Refusal),
-}
-
-/// What a caller's task needs.
-pub(crate) struct CallerTask {
-    /// The session's number.
-    pub(crate) session: SessionId,
-    /// The part that holds the session.
-    pub(crate) part: PartId,
-    /// The ways into the host's threads.
-    pub(crate) inboxes: Inboxes,
-    /// Bounds on what the caller may cost.
-    pub(crate) cfg: Rc<CallerSettings>,
-    /// How long a request may take.
-    pub(crate) request_timeout: Duration,
-    /// What the reducer has for the caller.
-    pub(crate) rx: mpsc::UnboundedReceiver<ToCaller>,
+/// What a PostgreSQL caller's task needs.
+pub(crate) struct PgCaller<'a> {
+    caller: &'a mut Caller,
 }
 
 type Stream = Framed<TcpStream, FrontCodec>;
@@ -66,23 +40,20 @@
     }
 }
 
-impl CallerTask {
+impl<'a> PgCaller<'a> {
+    /// Returns the task of a caller.
+    pub(crate) fn new(caller: &'a mut Caller) -> Self {
+        Self { caller }
+    }
+
     /// Serves the caller until either side ends the session.
-    pub(crate) async fn run(mut self, stream: std::net::TcpStream) {
-        let Ok(stream) = TcpStream::from_std(stream) else {
-            return;
-        };
-        let mut stream = Framed::new(stream, FrontCodec::new(self.cfg.max_message_bytes));
-        let limit = self.cfg.login_timeout;
+    pub(crate) async fn run(mut self, stream: TcpStream) {
+        let codec = FrontCodec::new(self.caller.cfg.max_message_bytes);
+        let mut stream = Framed::new(stream, codec);
+        let limit = self.caller.cfg.login_timeout;
         if let Ok(Ok(hello)) = timeout(limit, self.log_in(&mut stream)).await {
             let _ = self.serve(&mut stream, &hello).await;
         }
-        let session = self.session;
-        self.tell(CallerEvent::Closed { session });
-    }
-
-    fn tell(&self, event: CallerEvent) {
-        self.inboxes.event(self.part, Event::Caller(event));
     }
 
     async fn log_in(&mut self, stream: &mut Stream) -> Result<Hello, Gone> {
@@ -110,31 +81,25 @@
             Some(_) => read_password(stream).await?,
             None => String::new(),
         };
-        let session = self.session;
         let login = Login {
             workspace: hello.workspace.as_deref().map(Into::into),
             service: hello.service.as_str().into(),
+            route: None,
             password: password.into(),
             token: hello.token,
         };
-        self.tell(CallerEvent::Login { session, login });
-        match self.rx.recv().await {
-            Some(ToCaller::Admitted(Ok(()))) => {}
-            Some(ToCaller::Admitted(Err(refusal)) | ToCaller::End(refusal)) => {
-                return goodbye(stream, reply::fatal(refusal)).await;
-            }
-            _ => return Err(Gone),
+        if let Err(refusal) = self.caller.log_in(login).await {
+            return goodbye(stream, reply::fatal(refusal)).await;
         }
-        stream.send(welcome(session)?).await?;
+        stream.send(welcome(self.caller.session)?).await?;
         Ok(hello)
     }
 
     async fn serve(&mut self, stream: &mut Stream, hello: &Hello) -> Result<(), Gone> {
-        let limit = self.cfg.max_message_bytes.max(64 << 20);
-        let mut front = Front::new(hello, self.request_timeout, limit);
+        let limit = self.caller.cfg.max_message_bytes.max(64 << 20);
+        let mut front = Front::new(hello, self.caller.request_timeout, limit);
         let mut ahead = VecDeque::new();
         let mut running: Option<RequestId> = None;
-        let mut last_id: RequestId = 0;
         loop {
             if running.is_none()
                 && let Some(msg) = ahead.pop_front()
@@ -143,12 +108,7 @@
                     Step::Wait => {}
                     Step::Reply(bytes) => stream.send(bytes).await?,
                     Step::Close => return Ok(()),
-                    Step::Submit(req) => {
-                        last_id += 1;
-                        running = Some(last_id);
-                        let (session, id) = (self.session, last_id);
-                        self.tell(CallerEvent::Request { session, id, req });
-                    }
+                    Step::Submit(req) => running = Some(self.caller.submit(req)),
                 }
                 continue;
             }
@@ -158,7 +118,7 @@
                     Ok(msg) => ahead.push_back(msg),
                     Err(error) => return self.broken(stream, error).await,
                 },
-                word = self.rx.recv() => match word {
+                word = self.caller.next() => match word {
                     Some(ToCaller::Answer(id, answer)) => {
                         if running == Some(id) {
                             running = None;
@@ -182,7 +142,7 @@
             ReadError::Bad(error) => {
                 log::warn!(
                     "event=120 bad-message session={} error={error}",
-                    self.session
+                    self.caller.session
                 );
                 goodbye(stream, reply::refused("08P01", &error.to_string())).await
             }
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/pg_upstream.rs
@@ -4,14 +4,15 @@
 use std::time::Duration;
 
 use futures::{SinkExt, StreamExt};
-use model::ServiceId;
 use pg::codec::{BackCodec, CodecError, encode_front};
 use pgwire::messages::startup::{Authentication, Password, PasswordMessageFamily, Startup};
 use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 
+use crate::adapter::LoginError;
 use crate::settings::UpstreamSettings;
+use crate::sockets;
 
 /// A connection to an upstream that is ready for statements.
 pub(crate) type UpstreamStream = Framed<TcpStream, BackCodec>;
@@ -19,20 +20,6 @@
 /// The SQLSTATE of an upstream that has no connection to spare.
 const TOO_MANY_CONNECTIONS: &str = "53300";
 
-/// Why an upstream gave no connection.
-#[derive(Debug, thiserror::Error)]
-pub(crate) enum LoginError {
-    /// It can't be reached, or is silent.
-    #[error("the upstream can't be reached")]
-    Unreachable,
-    /// It has no connection to spare.
-    #[error("the upstream has no connection to spare")]
-    Exhausted,
-    /// It refused for another reason.
-    #[error("the upstream refused the login: {0}")]
-    Refused(String),
-}
-
 impl From<CodecError> for LoginError {
     fn from(_: CodecError) -> Self {
         Self::Unreachable
@@ -42,7 +29,7 @@
 /// Connects and logs in, in bounded time.
 pub(crate) async fn login(
     addr: SocketAddr,
-    service: &ServiceId,
+    service: &str,
     cfg: &UpstreamSettings,
     timeout: Duration,
 ) -> Result<UpstreamStream, LoginError> {
@@ -53,12 +40,12 @@
 
 async fn login_unbounded(
     addr: SocketAddr,
-    service: &ServiceId,
+    service: &str,
     cfg: &UpstreamSettings,
 ) -> Result<UpstreamStream, LoginError> {
     let stream = TcpStream::connect(addr).await;
     let stream = stream.map_err(|_| LoginError::Unreachable)?;
-    let _ = stream.set_nodelay(true);
+    sockets::tune_or_warn(&stream);
     let codec = BackCodec::new(cfg.max_answer_bytes);
     let mut stream = Framed::new(stream, codec);
     let mut startup = Startup::new();
--- /dev/null
+++ b/crates/host/src/postgres.rs
@@ -0,0 +1,166 @@
+//! The PostgreSQL protocol towards callers and upstreams.
+
+use std::time::Duration;
+
+use decide::ask::{Ask, AskError, Told};
+use decide::authority::{Order, OrderError};
+use decide::conn::{Outcome, Unrun};
+use futures::{SinkExt, StreamExt};
+use model::Claim;
+use pg::status::{StatusRow, read_row, status_sql};
+use pg::upstream::{Collector, encode_query, encode_run};
+use pgwire::messages::PgWireBackendMessage;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::adapter::{Adapter, Caller, Calls, LoginError, RunJob, Target, UpstreamConn};
+use crate::pg_caller::PgCaller;
+use crate::pg_upstream::{UpstreamStream, login};
+use crate::settings::{OrderSettings, UpstreamSettings};
+
+/// The database that questions are asked in.
+const CONTROL_DATABASE: &str = "postgres";
+
+/// The adapter for PostgreSQL callers and upstreams, without a platform.
+#[derive(Debug)]
+pub struct Postgres;
+
+impl Adapter for Postgres {
+    type Conn = PgConn;
+
+    async fn serve(caller: &mut Caller, stream: TcpStream) {
+        PgCaller::new(caller).run(stream).await;
+    }
+
+    async fn connect(
+        target: &Target,
+        cfg: &UpstreamSettings,
+        timeout: Duration,
+    ) -> Result<PgConn, LoginError> {
+        let database = match target.control {
+            true => CONTROL_DATABASE,
+            false => &target.service,
+        };
+        let stream = login(target.addr, database, cfg, timeout).await?;
+        Ok(PgConn { stream })
+    }
+
+    async fn serve_calls(_: TcpListener, _: Calls, mut stop: watch::Receiver<bool>) {
+        // The platform's calls come over the JSON-RPC API.
+        let _ = stop.wait_for(|stop| *stop).await;
+    }
+
+    async fn order(_: &OrderSettings, _: &Order) -> Result<(), OrderError> {
+        Err(OrderError::Refused)
+    }
+}
+
+/// A connection to a PostgreSQL upstream.
+#[derive(Debug)]
+pub struct PgConn {
+    stream: UpstreamStream,
+}
+
+impl UpstreamConn for PgConn {
+    async fn run(&mut self, job: &RunJob, limit: usize, sent: &mut bool) -> Option<Outcome> {
+        let bytes = encode_run(&job.payload, job.wait_for, job.want_status).ok()?;
+        *sent = true;
+        self.stream.send(bytes).await.ok()?;
+        let mut collector = Collector::new(job.wait_for.is_some(), job.want_status, limit);
+        loop {
+            let msg = self.stream.next().await?.ok()?;
+            if let Some(collected) = collector.on_message(msg).ok()? {
+                return Some(Outcome {
+                    payload: collected.payload,
+                    tx: collected.tx,
+                    refused: collected.refused.then_some(Unrun::NotPrimary),
+                    position: None,
+                    before: collected.before,
+                    after: collected.after,
+                });
+            }
+        }
+    }
+
+    async fn ask(&mut self, ask: &Ask) -> Result<Told, AskError> {
+        let sql = sql(ask).ok_or(AskError::Refused)?;
+        let query = encode_query(&sql).map_err(|_| AskError::Refused)?;
+        self.stream
+            .send(query)
+            .await
+            .map_err(|_| AskError::Broken)?;
+        let mut row = None;
+        let mut refused = false;
+        loop {
+            let msg = self.stream.next().await.ok_or(AskError::Broken)?;
+            match msg.map_err(|_| AskError::Broken)? {
+                PgWireBackendMessage::DataRow(data) => row = read_row(&data),
+                PgWireBackendMessage::ErrorResponse(_) => refused = true,
+                PgWireBackendMessage::ReadyForQuery(_) => break,
+                _ => {}
+            }
+        }
+        let row = row.filter(|_| !refused).ok_or(AskError::Refused)?;
+        Ok(told(ask, row))
+    }
+
+    async fn ended(&mut self) {
+        // Notices between requests are of no interest.
+        while matches!(self.stream.next().await, Some(Ok(_))) {}
+    }
+}
+
+fn told(ask: &Ask, row: StatusRow) -> Told {
+    let claim = match ask {
+        Ask::Claim { host, lease } if row.granted => Some(Claim {
+            host: host.clone(),
+            slots: row.slots,
+            connections: row.connections,
+            lease: *lease,
+        }),
+        _ => None,
+    };
+    Told {
+        status: row.status,
+        granted: row.granted,
+        held: 0,
+        claim,
+    }
+}
+
+/// Returns a question as SQL, unless these upstreams have no such question.
+fn sql(ask: &Ask) -> Option<String> {
+    Some(match ask {
+        Ask::Status { wait_for } => status_sql(*wait_for),
+        Ask::Claim { host, lease } => {
+            let lease = lease.as_millis();
+            format!("SELECT * FROM caraway.claim({}, {lease})", quote(host))
+        }
+        Ask::Unclaim { host } => format!("SELECT * FROM caraway.unclaim({})", quote(host)),
+        Ask::Promise { term, candidate } => {
+            format!(
+                "SELECT * FROM caraway.promise({term}, {})",
+                quote(candidate)
+            )
+        }
+        Ask::Promote { term, candidate } => {
+            format!(
+                "SELECT * FROM caraway.promote({term}, {})",
+                quote(candidate)
+            )
+        }
+        Ask::Follow {
+            term,
+            primary,
+            addr,
+        } => {
+            let (primary, addr) = (quote(primary), quote(&addr.to_string()));
+            format!("SELECT * FROM caraway.follow({term}, {primary}, {addr})")
+        }
+        Ask::Pause { .. } | Ask::Resume => return None,
+    })
+}
+
+fn quote(text: &str) -> String {
+    format!("'{}'", text.replace('\'', "''"))
+}
--- a/crates/host/src/rpc.rs
+++ b/crates/host/src/rpc.rs
@@ -1,40 +1,31 @@
 //! Serves the JSON-RPC API by handing each call to the control thread.
 
-use std::time::Duration;
-
 use decide::call::{Call, Patch, PatchOutcome, Reply};
 use decide::view::FleetStatus;
 use jsonrpsee::core::async_trait;
 use jsonrpsee::types::ErrorObjectOwned;
-use model::{Announcement, CONTROL, Config, ConfigVersion, HostId};
+use model::{Announcement, Config, ConfigVersion, HostId};
 use peer::api::{ApiServer, refused, unconfirmed};
-use tokio::sync::oneshot;
-
-use crate::input::{Inboxes, Input};
 
-/// How long the control thread may take to reply.
-const REPLY_TIMEOUT: Duration = Duration::from_secs(10);
+use crate::adapter::Calls;
 
 /// The API of one host.
 #[derive(Clone, Debug)]
 pub(crate) struct Rpc {
-    inboxes: Inboxes,
+    calls: Calls,
 }
 
 impl Rpc {
     /// Returns the API of a host.
-    pub(crate) fn new(inboxes: Inboxes) -> Self {
-        Self { inboxes }
+    pub(crate) fn new(calls: Calls) -> Self {
+        Self { calls }
     }
 
     async fn call(&self, call: Call) -> Result<Reply, ErrorObjectOwned> {
-        let (reply, answer) = oneshot::channel();
-        self.inboxes.put(CONTROL, Input::Call { call, reply });
-        let answer = tokio::time::timeout(REPLY_TIMEOUT, answer).await;
-        match answer {
-            Ok(Ok(Reply::Refused(reason))) => Err(refused(reason)),
-            Ok(Ok(Reply::Unconfirmed)) | Err(_) | Ok(Err(_)) => Err(unconfirmed()),
-            Ok(Ok(reply)) => Ok(reply),
+        match self.calls.call(call).await {
+            Reply::Refused(reason) => Err(refused(reason)),
+            Reply::Unconfirmed => Err(unconfirmed()),
+            reply => Ok(reply),
         }
     }
 }
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -21,6 +21,8 @@
     pub host: HostId,
     /// The data centre that the host stands in.
     pub data_centre: DataCentreId,
+    /// What callers and upstreams speak: postgres, or the platform's own protocol.
+    pub protocol: ProtocolKind,
     /// Whether the host serves callers and owns upstreams.
     pub entry: bool,
     /// Whether the host is a voter of the control state.
@@ -35,6 +37,13 @@
     pub listen: ListenSettings,
     /// The control hosts, by which a host finds the fleet.
     pub control_hosts: Vec<ControlHost>,
+    /// Addresses of control hosts that are named by their IP number and use this host's port for links.
+    pub seeds: Vec<SocketAddr>,
+    /// How long a leaving host waits for its callers and transactions.
+    #[serde(with = "humantime_serde")]
+    pub leave_timeout: Duration,
+    /// Orders to the platform.
+    pub orders: OrderSettings,
     /// The system's own login at upstreams.
     pub upstream: UpstreamSettings,
     /// Bounds on what a caller may cost.
@@ -83,6 +92,7 @@
         Self {
             host: "host-1".into(),
             data_centre: "dc-1".into(),
+            protocol: ProtocolKind::default(),
             entry: true,
             control: false,
             data_dir: None,
@@ -90,6 +100,9 @@
             fleet_secret: Secret::default(),
             listen: ListenSettings::default(),
             control_hosts: Vec::new(),
+            seeds: Vec::new(),
+            leave_timeout: Duration::from_secs(30),
+            orders: OrderSettings::default(),
             upstream: UpstreamSettings::default(),
             caller: CallerSettings::default(),
             log: LogSettings::default(),
@@ -103,6 +116,40 @@
     }
 }
 
+/// What callers and upstreams speak.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ProtocolKind {
+    /// The PostgreSQL protocol.
+    #[default]
+    Postgres,
+    /// The protocol of the platform that the host runs on.
+    Platform,
+}
+
+/// Orders to the platform.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OrderSettings {
+    /// Where the platform takes orders.
+    pub address: Option<SocketAddr>,
+    /// The name under which this host gives them.
+    pub name: String,
+    /// How long an answer may take.
+    #[serde(with = "humantime_serde")]
+    pub timeout: Duration,
+}
+
+impl Default for OrderSettings {
+    fn default() -> Self {
+        Self {
+            address: None,
+            name: String::new(),
+            timeout: Duration::from_millis(1500),
+        }
+    }
+}
+
 /// A secret, which no log line and no `Debug` shows.
 #[derive(Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -126,6 +173,10 @@
     pub api: SocketAddr,
     /// For metrics and readiness, in HTTP.
     pub metrics: SocketAddr,
+    /// For calls of the platform, if it makes any.
+    pub platform: Option<SocketAddr>,
+    /// The path under which readiness is asked for.
+    pub ready_path: String,
 }
 
 impl Default for ListenSettings {
@@ -136,6 +187,8 @@
             peers: local(6433),
             api: local(6434),
             metrics: local(6435),
+            platform: None,
+            ready_path: "/ready".to_owned(),
         }
     }
 }
--- a/crates/host/src/settings_file.rs
+++ b/crates/host/src/settings_file.rs
@@ -112,7 +112,7 @@
 
 fn check_control_hosts(cfg: &HostSettings, faults: &mut Vec<String>) {
     let mut fault = |text: String| faults.push(format!("control_hosts: {text}"));
-    if cfg.control_hosts.is_empty() {
+    if cfg.control_hosts.is_empty() && cfg.seeds.is_empty() {
         fault("at least 1 control host must be named".to_owned());
     }
     let mut names = HashSet::default();
@@ -121,7 +121,7 @@
             fault(format!("`{}` is named twice", control.host));
         }
     }
-    if cfg.control && !names.contains(&cfg.host) {
+    if cfg.control && cfg.seeds.is_empty() && !names.contains(&cfg.host) {
         let text = "this control host is not among them";
         fault(format!("`{}`: {text}", cfg.host));
     }
--- a/crates/host/src/thread_control.rs
+++ b/crates/host/src/thread_control.rs
@@ -8,28 +8,30 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 
+use crate::adapter::Adapter;
 use crate::ask::Asks;
 use crate::disk::Disk;
 use crate::input::{Inboxes, Input, Runner, join_in_time};
 use crate::link::{self, Links};
 use crate::logs;
-use crate::settings::HostSettings;
+use crate::settings::{HostSettings, OrderSettings};
 
 /// The tables and tasks of the control thread.
-pub(crate) struct ControlRunner {
+pub(crate) struct ControlRunner<A> {
     inboxes: Inboxes,
     links: Links,
-    asks: Asks,
+    asks: Asks<A>,
     calls: HashMap<CallId, oneshot::Sender<Reply>>,
     next_call: CallId,
     disk: Disk,
     tasks: JoinSet<()>,
+    order_cfg: Rc<OrderSettings>,
 }
 
 /// The control thread's part.
 const PART: PartId = CONTROL;
 
-impl ControlRunner {
+impl<A: Adapter> ControlRunner<A> {
     /// Returns a runner that has nothing to run yet.
     pub(crate) fn new(cfg: &HostSettings, inboxes: Inboxes, disk: Disk) -> Self {
         let mut links = Links::new(PART, cfg.fleet_secret.clone(), inboxes.clone());
@@ -45,11 +47,12 @@
             next_call: 0,
             disk,
             tasks: JoinSet::new(),
+            order_cfg: Rc::new(cfg.orders.clone()),
         }
     }
 }
 
-impl Runner for ControlRunner {
+impl<A: Adapter> Runner for ControlRunner<A> {
     fn take(&mut self, input: Input) -> Option<Event> {
         while self.tasks.try_join_next().is_some() {}
         match input {
@@ -87,6 +90,13 @@
                 }
             }
             effect @ Effect::Ask { .. } => self.asks.run(&mut self.tasks, effect),
+            Effect::Order(order) => {
+                let (cfg, inboxes) = (self.order_cfg.clone(), self.inboxes.clone());
+                self.tasks.spawn_local(async move {
+                    let result = A::order(&cfg, &order).await;
+                    inboxes.event(PART, Event::Ordered { order, result });
+                });
+            }
             Effect::Persist(persist) => self.disk.put(persist),
             Effect::Log(note) => logs::write(&note),
             Effect::Answer { .. }
--- a/crates/host/src/thread_traffic.rs
+++ b/crates/host/src/thread_traffic.rs
@@ -6,35 +6,35 @@
 
 use decide::conn::ConnEvent;
 use decide::{Effect, Event, View};
-use model::{ConnId, HashMap, PartId, ServiceId, SessionId, UpstreamId};
+use model::{ConnId, HashMap, PartId, SessionId};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
+use crate::adapter::{Adapter, Caller, RunJob, Target, ToCaller};
 use crate::ask::Asks;
-use crate::caller::{CallerTask, ToCaller};
-use crate::conn::{self, RunJob};
+use crate::conn;
 use crate::input::{Inboxes, Input, Runner, join_in_time};
 use crate::link::{self, Links};
 use crate::logs;
 use crate::settings::{CallerSettings, HostSettings, UpstreamSettings};
 
 /// The tables and tasks of a traffic thread.
-pub(crate) struct TrafficRunner {
+pub(crate) struct TrafficRunner<A> {
     part: PartId,
     inboxes: Inboxes,
     links: Links,
     callers: HashMap<SessionId, mpsc::UnboundedSender<ToCaller>>,
     next_session: SessionId,
     conns: HashMap<ConnId, mpsc::UnboundedSender<RunJob>>,
-    asks: Asks,
+    asks: Asks<A>,
     tasks: JoinSet<()>,
-    view: Arc<View>,
     caller_cfg: Rc<CallerSettings>,
     upstream_cfg: Rc<UpstreamSettings>,
     request_timeout: Duration,
 }
 
-impl TrafficRunner {
+impl<A: Adapter> TrafficRunner<A> {
     /// Returns a runner that has nothing to run yet.
     pub(crate) fn new(part: PartId, cfg: &HostSettings, inboxes: Inboxes) -> Self {
         let upstream_cfg = Rc::new(cfg.upstream.clone());
@@ -48,7 +48,6 @@
             conns: HashMap::default(),
             asks,
             tasks: JoinSet::new(),
-            view: Arc::default(),
             caller_cfg: Rc::new(cfg.caller.clone()),
             upstream_cfg,
             request_timeout: cfg.session.request_timeout,
@@ -64,15 +63,21 @@
         let session = self.next_session;
         let (tx, rx) = mpsc::unbounded_channel();
         self.callers.insert(session, tx);
-        let task = CallerTask {
+        let mut caller = Caller::new(
             session,
-            part: self.part,
-            inboxes: self.inboxes.clone(),
-            cfg: self.caller_cfg.clone(),
-            request_timeout: self.request_timeout,
+            self.part,
+            self.inboxes.clone(),
+            self.caller_cfg.clone(),
+            self.request_timeout,
             rx,
-        };
-        self.tasks.spawn_local(task.run(stream));
+        );
+        self.tasks.spawn_local(async move {
+            match TcpStream::from_std(stream) {
+                Ok(stream) => A::serve(&mut caller, stream).await,
+                Err(error) => log::warn!("event=122 caller-unusable error={error}"),
+            }
+            caller.close();
+        });
     }
 
     fn word_to(&mut self, session: SessionId, word: ToCaller) {
@@ -82,34 +87,22 @@
     }
 
     fn set_view(&mut self, view: &Arc<View>) {
-        self.view = view.clone();
         self.asks.follow(view);
         for info in view.hosts.values() {
             self.links.set_addr(info.host.clone(), info.peer_addr);
         }
     }
 
-    fn open_conn(&mut self, conn: ConnId, upstream: &UpstreamId, addr: std::net::SocketAddr) {
+    fn open_conn(&mut self, conn: ConnId, target: Target) {
         let (tx, rx) = mpsc::unbounded_channel();
         self.conns.insert(conn, tx);
-        let known = self.view.upstreams.get(upstream);
-        let service: ServiceId =
-            known.map_or_else(|| upstream.clone(), |up| up.announcement.service.clone());
-        let cfg = self.upstream_cfg.clone();
-        let task = conn::run(
-            conn,
-            addr,
-            service,
-            rx,
-            cfg,
-            self.inboxes.clone(),
-            self.part,
-        );
+        let (cfg, inboxes) = (self.upstream_cfg.clone(), self.inboxes.clone());
+        let task = conn::run::<A>(conn, target, rx, cfg, inboxes, self.part);
         self.tasks.spawn_local(task);
     }
 }
 
-impl Runner for TrafficRunner {
+impl<A: Adapter> Runner for TrafficRunner<A> {
     fn take(&mut self, input: Input) -> Option<Event> {
         // Finished tasks are joined as they are noticed.
         while self.tasks.try_join_next().is_some() {}
@@ -162,11 +155,23 @@
                 conn,
                 upstream,
                 addr,
-            } => self.open_conn(conn, &upstream, addr),
+                service,
+                workspace,
+            } => self.open_conn(
+                conn,
+                Target {
+                    addr,
+                    upstream,
+                    service,
+                    workspace,
+                    control: false,
+                },
+            ),
             Effect::RunOn {
                 conn,
                 payload,
                 wait_for,
+                as_primary,
                 want_status,
                 timeout,
             } => {
@@ -174,6 +179,7 @@
                     let job = RunJob {
                         payload,
                         wait_for,
+                        as_primary,
                         want_status,
                         timeout,
                     };
@@ -185,7 +191,11 @@
             }
             effect @ Effect::Ask { .. } => self.asks.run(&mut self.tasks, effect),
             Effect::Log(note) => logs::write(&note),
-            Effect::Publish(_) | Effect::Reply { .. } | Effect::Persist(_) | Effect::Left => {}
+            Effect::Publish(_)
+            | Effect::Reply { .. }
+            | Effect::Persist(_)
+            | Effect::Order(_)
+            | Effect::Left => {}
         }
     }
 
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -1,10 +1,11 @@
 //! The numbered configuration that operators patch.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{KeyDigest, KeyId, ServiceId, WorkspaceId};
+use crate::{KeyDigest, KeyId, RouteId, ServiceId, WorkspaceId};
 
 /// Numbers the accepted configurations, from zero for the empty one.
 pub type ConfigVersion = u64;
@@ -20,6 +21,51 @@
     pub services: BTreeMap<ServiceId, Service>,
     /// The services that callers without a key may read, and on whose account.
     pub open_routes: BTreeMap<ServiceId, WorkspaceId>,
+    /// The routes by name.
+    #[serde(default)]
+    pub routes: BTreeMap<RouteId, Route>,
+}
+
+impl Config {
+    /// Returns the workspace that holds a key, by the key's public name.
+    pub fn holder_of(&self, key: &str) -> Option<&WorkspaceId> {
+        let holds = |(_, workspace): &(&WorkspaceId, &Workspace)| workspace.keys.contains_key(key);
+        self.workspaces.iter().find(holds).map(|(name, _)| name)
+    }
+}
+
+/// One route: a name under which callers reach a service, and the rules for their requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// The service that it leads to.
+    pub service: ServiceId,
+    /// What its reads may see.
+    pub reads: ReadRule,
+    /// How long one statement may take.
+    pub timeout: Duration,
+    /// The latency objective of a whole operation.
+    pub objective: Duration,
+    /// Its rank under load; 0 goes first.
+    pub priority: u8,
+    /// Whether callers need no key.
+    pub open: bool,
+}
+
+/// What the reads of a route may see.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum ReadRule {
+    /// Everything that was acknowledged before.
+    Newest,
+    /// What the session has written, and all else up to an age.
+    Session {
+        /// How old the data may be.
+        max_age: Duration,
+    },
+    /// Everything up to an age.
+    Bounded {
+        /// How old the data may be.
+        max_age: Duration,
+    },
 }
 
 /// One workspace.
@@ -41,6 +87,9 @@
     /// When a write is acknowledged.
     #[serde(default)]
     pub commit: CommitRule,
+    /// How many connections each instance takes in all, where instances don't announce it.
+    #[serde(default)]
+    pub connections: u32,
 }
 
 /// When a write counts as done.
@@ -52,6 +101,17 @@
     Replicated,
     /// Once the primary has it and is known not to be deposed.
     Primary,
+    /// Once the primary answers, which itself waits until replicas have it.
+    Upstream,
+}
+
+/// A whole configuration that replaces the one in force, under a version of the operator's.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Replacement {
+    /// What the document means.
+    pub config: Config,
+    /// The document as it was sent, to be read back.
+    pub document: bytes::Bytes,
 }
 
 /// One change of a patch.
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -10,6 +10,8 @@
 pub type WorkspaceId = Arc<str>;
 /// Names a database service, which is one replicated group of upstreams.
 pub type ServiceId = Arc<str>;
+/// Names a route, under which callers reach a service by certain rules.
+pub type RouteId = Arc<str>;
 /// Names an upstream, one database instance of a service.
 pub type UpstreamId = Arc<str>;
 /// Numbers a caller's session within the thread that accepted it.
--- a/crates/model/src/instance.rs
+++ b/crates/model/src/instance.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{DataCentreId, HostId, Position, ServiceId, Term, UpstreamId};
+use crate::{DataCentreId, HostId, Incarnation, Position, ServiceId, Term, UpstreamId};
 
 /// The part that an upstream plays in its service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -34,12 +34,31 @@
     pub slots: u32,
     /// How many connections it takes in all.
     pub connections: u32,
-    /// Rises with each announcement of one upstream, so that the newest wins.
+    /// Which start of the upstream this is; a later start wins over an earlier one.
+    #[serde(default)]
+    pub incarnation: Incarnation,
+    /// Rises with each announcement of one start, so that the newest wins.
     pub sequence: u64,
+    /// The role that it believes to have, if it says so.
+    #[serde(default)]
+    pub role: Option<Role>,
+    /// Whether it is still slow after its start.
+    #[serde(default)]
+    pub warming: bool,
+    /// Whether it will leave, and goes on with what it has until then.
+    #[serde(default)]
+    pub draining: bool,
     /// Whether it is leaving and wants no new work.
     pub leaving: bool,
 }
 
+impl Announcement {
+    /// Returns what orders the announcements of one upstream, also across its starts.
+    pub fn stamp(&self) -> (Incarnation, u64) {
+        (self.incarnation, self.sequence)
+    }
+}
+
 /// What an upstream answers when asked for its state.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceStatus {
--- a/crates/model/src/key.rs
+++ b/crates/model/src/key.rs
@@ -21,6 +21,11 @@
         Self(text.into())
     }
 
+    /// Returns a name for the key that follows from its secret alone.
+    pub fn id(&self) -> KeyId {
+        self.0.clone()
+    }
+
     /// Returns whether a secret has this digest, in constant time.
     pub fn matches(&self, secret: &str) -> bool {
         let other = Self::of(secret);
--- a/crates/model/src/patch.rs
+++ b/crates/model/src/patch.rs
@@ -3,7 +3,7 @@
 use std::collections::btree_map::Entry;
 use std::sync::Arc;
 
-use crate::config::{BadChange, Change, Service, Workspace};
+use crate::config::{BadChange, Change, Workspace};
 use crate::{Config, ServiceId, WorkspaceId};
 
 /// The longest name of a workspace, service or key, in bytes.
@@ -35,8 +35,7 @@
             Change::RemoveWorkspace { name } => self.remove_workspace(name),
             Change::SetService { name, commit } => {
                 check_name(name)?;
-                let service = Service { commit: *commit };
-                self.services.insert(name.clone(), service);
+                self.services.entry(name.clone()).or_default().commit = *commit;
                 Ok(())
             }
             Change::RemoveService { name } => self.remove_service(name),
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -27,6 +27,15 @@
     pub kind: Kind,
     /// Whether it opens or continues an explicit transaction.
     pub transaction: bool,
+    /// Whether it belongs to a transaction that an earlier request has opened.
+    #[serde(default)]
+    pub continues: bool,
+    /// Whether the transaction that it opens or continues only reads.
+    #[serde(default)]
+    pub read_only: bool,
+    /// Its rank under load; 0 goes first.
+    #[serde(default)]
+    pub priority: u8,
     /// Whether it may run more than once.
     pub repeatable: bool,
     /// How long the caller still waits for an answer.
--- a/crates/model/src/verdict.rs
+++ b/crates/model/src/verdict.rs
@@ -22,6 +22,8 @@
     BadKey,
     /// The workspace may not reach the service.
     NotAllowed,
+    /// No route has the name that the caller asked for.
+    NoRoute,
     /// The workspace is over its rate and burst.
     OverRate,
     /// The queue could not reach the request before its deadline.
@@ -45,7 +47,7 @@
             Self::OverRate | Self::Overloaded => Some(Duration::from_millis(500)),
             Self::NoPrimary | Self::NoUpstream | Self::NotReady => Some(Duration::from_secs(1)),
             Self::TransactionLost => Some(Duration::ZERO),
-            Self::BadKey | Self::NotAllowed | Self::Unsupported => None,
+            Self::BadKey | Self::NotAllowed | Self::NoRoute | Self::Unsupported => None,
         }
     }
 
@@ -54,6 +56,7 @@
         match self {
             Self::BadKey => "the key is unknown or withdrawn",
             Self::NotAllowed => "the workspace may not reach this service",
+            Self::NoRoute => "no route has this name",
             Self::OverRate => "the workspace is over its rate",
             Self::Overloaded => "the queue is too long for the deadline",
             Self::NoPrimary => "no primary can confirm writes now",
--- a/crates/pg/src/reply.rs
+++ b/crates/pg/src/reply.rs
@@ -12,7 +12,7 @@
 pub fn sqlstate(refusal: Refusal) -> &'static str {
     match refusal {
         Refusal::BadKey => "28P01",
-        Refusal::NotAllowed => "42501",
+        Refusal::NotAllowed | Refusal::NoRoute => "42501",
         Refusal::OverRate => "53400",
         Refusal::Overloaded => "53000",
         Refusal::NoPrimary | Refusal::NoUpstream | Refusal::NotReady => "57P03",
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -237,6 +237,10 @@
             slots: self.cfg.slots,
             connections: self.cfg.connections,
             sequence: self.sequence,
+            incarnation: 0,
+            role: None,
+            warming: false,
+            draining: false,
             leaving: self.leaving,
         }));
     }
