carawayd: follow the settings file on SIGHUP and by itself

Change: control hosts, log level and leave time are taken over while the host runs; the rest is said to need a restart. Signals count from before the host starts.

--- a/crates/carawayd/src/run.rs
+++ b/crates/carawayd/src/run.rs
@@ -2,20 +2,24 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use eyre::WrapErr;
 use host::settings::ProtocolKind;
 use host::settings_file::{self, BadSettings};
-use host::{Daemon, HostSettings, Postgres, logs};
+use host::{Daemon, HostSettings, Postgres, Running, logs};
 use platform::Platform;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::BAD_SETTINGS;
 
+/// How often the settings file is looked at; it may change without a signal.
+const SETTINGS_POLL: Duration = Duration::from_secs(2);
+
 /// Runs a host until it is told to stop.
 pub(crate) fn run(path: &Path) -> ExitCode {
     match settings_file::read(path) {
-        Ok(cfg) => report(run_host(cfg)),
+        Ok(cfg) => report(run_host(path, cfg)),
         Err(error) => bad_settings(&error),
     }
 }
@@ -63,7 +67,7 @@
     }
 }
 
-fn run_host(cfg: HostSettings) -> eyre::Result<()> {
+fn run_host(path: &Path, cfg: HostSettings) -> eyre::Result<()> {
     let _log = logs::start(&cfg.log)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(1)
@@ -71,7 +75,9 @@
         .build()
         .wrap_err("the runtime can't be started")?;
     runtime.block_on(async {
-        let running = match cfg.protocol {
+        // Signals count from the first moment on, also while the host starts.
+        let hangup = signal(SignalKind::hangup())?;
+        let mut running = match cfg.protocol {
             ProtocolKind::Postgres => Daemon::start::<Postgres>(cfg).await?,
             ProtocolKind::Platform => Daemon::start::<Platform>(cfg).await?,
         };
@@ -79,12 +85,36 @@
             "listening callers={} peers={} api={} metrics={}",
             running.callers, running.peers, running.api, running.metrics
         );
-        stop_asked().await?;
+        serve(path, &mut running, hangup).await?;
         running.stop().await;
         Ok(())
     })
 }
 
+/// Follows the settings file, on SIGHUP and by itself, until the host is told to stop.
+async fn serve(path: &Path, running: &mut Running, mut hangup: Signal) -> eyre::Result<()> {
+    let mut look = tokio::time::interval(SETTINGS_POLL);
+    let mut last = std::fs::read(path).ok();
+    let stop = stop_asked();
+    tokio::pin!(stop);
+    loop {
+        let asked = tokio::select! {
+            stopped = &mut stop => return stopped,
+            _ = hangup.recv() => true,
+            _ = look.tick() => false,
+        };
+        let now = std::fs::read(path).ok();
+        if !asked && now == last {
+            continue;
+        }
+        last = now;
+        match settings_file::read(path) {
+            Ok(cfg) => running.reload(cfg),
+            Err(error) => log::error!("event=705 settings-unusable error={error:?}"),
+        }
+    }
+}
+
 /// Waits until the process is told to stop.
 pub(crate) async fn stop_asked() -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -87,6 +87,7 @@
             Event::Learned(fact) => self.spread.learn(cx, fact),
             Event::TablesChanged => self.publish(cx),
             Event::Committed(committed) => self.committed(cx, committed),
+            Event::Seeds(seeds) => self.spread.set_seeds(cx, seeds),
             Event::Leave => self.spread.leave(cx),
             Event::Drained => self.drain(cx),
             Event::Caller(_)
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -14,7 +14,7 @@
 use crate::conn::ConnEvent;
 use crate::grant::{Feed, PartNeed};
 use crate::raft::Stored;
-use crate::spread::Fact;
+use crate::spread::{Fact, Seed};
 use crate::{Msg, View};
 
 /// Everything that can happen to a part of the state.
@@ -81,6 +81,8 @@
     TablesChanged,
     /// A configuration or membership entry is committed.
     Committed(Committed),
+    /// The settings name other control hosts.
+    Seeds(Vec<Seed>),
     /// The host is asked to leave.
     Leave,
     /// The traffic parts of a leaving host have ended.
--- a/crates/decide/src/spread.rs
+++ b/crates/decide/src/spread.rs
@@ -162,6 +162,20 @@
         self.finish(cx);
     }
 
+    /// Takes other control hosts from the settings; those known already stay known.
+    pub fn set_seeds(&mut self, cx: &mut Cx<'_>, seeds: Vec<Seed>) {
+        let others = seeds.into_iter().filter(|seed| seed.host != self.me.host);
+        self.seeds = others.map(|seed| (seed.host.clone(), seed)).collect();
+        for seed in self.seeds.values() {
+            self.controls.insert(seed.host.clone());
+            let host = seed.host.clone();
+            let addr = seed.addr;
+            cx.emit(Effect::Address { host, addr });
+        }
+        self.tree_stale = true;
+        self.finish(cx);
+    }
+
     /// Notes that what was sent to a host may be lost; its next beat tells whether it is.
     pub fn on_link_down(&mut self, cx: &mut Cx<'_>, host: &HostId) {
         if let Some(link) = self.links.get_mut(host) {
--- a/crates/decide/src/traffic.rs
+++ b/crates/decide/src/traffic.rs
@@ -91,6 +91,7 @@
             | Event::Learned(_)
             | Event::TablesChanged
             | Event::Committed(_)
+            | Event::Seeds(_)
             | Event::Drained => {}
         }
         self.entry.flush(cx);
--- a/crates/decide/tests/group/instance.rs
+++ b/crates/decide/tests/group/instance.rs
@@ -113,6 +113,7 @@
             Ask::Promise { term, candidate } => self.promise(*term, candidate),
             Ask::Promote { term, candidate } => self.promote(*term, candidate),
             Ask::Follow { term, primary, .. } => self.follow(*term, primary),
+            Ask::Pause { .. } | Ask::Resume => false,
         };
         Told {
             held: 0,
--- a/crates/decide/tests/group/net.rs
+++ b/crates/decide/tests/group/net.rs
@@ -160,5 +160,7 @@
         Ask::Promise { .. } => "promise",
         Ask::Promote { .. } => "promote",
         Ask::Follow { .. } => "follow",
+        Ask::Pause { .. } => "pause",
+        Ask::Resume => "resume",
     }
 }
--- a/crates/decide/tests/owner_chaos/mod.rs
+++ b/crates/decide/tests/owner_chaos/mod.rs
@@ -269,7 +269,8 @@
             outcome: Outcome {
                 payload: Bytes::new(),
                 tx,
-                refused,
+                refused: refused.then_some(decide::conn::Unrun::NotPrimary),
+                position: None,
                 before: Some(status.clone()),
                 after: Some(status),
             },
--- a/crates/decide/tests/owner_harness/mod.rs
+++ b/crates/decide/tests/owner_harness/mod.rs
@@ -279,7 +279,10 @@
                         "failed" => TxStatus::Failed,
                         _ => TxStatus::Idle,
                     },
-                    refused: line.has("refused"),
+                    refused: line
+                        .has("refused")
+                        .then_some(decide::conn::Unrun::NotPrimary),
+                    position: None,
                     before: line.find("before").map(status),
                     after: line.find("after").map(status),
                 },
--- a/crates/decide/tests/owner_load/mod.rs
+++ b/crates/decide/tests/owner_load/mod.rs
@@ -96,7 +96,8 @@
                 let outcome = Outcome {
                     payload: Bytes::new(),
                     tx: TxStatus::Idle,
-                    refused: false,
+                    refused: None,
+                    position: None,
                     before: None,
                     after: None,
                 };
--- a/crates/decide/tests/raft/checks.rs
+++ b/crates/decide/tests/raft/checks.rs
@@ -25,7 +25,7 @@
     pub(crate) fn check_committed(&mut self, name: &str, committed: Committed) {
         let host = self.hosts.get_mut(name).unwrap();
         match committed {
-            Committed::Seats(_) => {}
+            Committed::Seats(_) | Committed::Order { .. } => {}
             Committed::Config(config) => {
                 let version = config.version;
                 assert!(version >= host.version, "{name} reverts to {version}");
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -57,7 +57,8 @@
     listeners: JoinSet<()>,
     rpc: ServerHandle,
     counted: Arc<Metrics>,
-    leave_timeout: Duration,
+    cfg: HostSettings,
+    info: HostInfo,
 }
 
 /// A thread that runs one part.
@@ -141,17 +142,45 @@
             listeners,
             rpc,
             counted: metrics,
-            leave_timeout: cfg.leave_timeout,
+            cfg,
+            info,
         })
     }
 }
 
 impl Running {
+    /// Takes over the settings that may change while the host runs.
+    ///
+    /// These are the control hosts that it looks for, the log level and the time for leaving.
+    pub fn reload(&mut self, cfg: HostSettings) {
+        if cfg == self.cfg {
+            log::info!("event=703 reloaded changed=none");
+            return;
+        }
+        let seeds = seeds(&cfg, &self.info);
+        let changed = seeds != self::seeds(&self.cfg, &self.info);
+        if changed {
+            self.inboxes.event(CONTROL, Event::Seeds(seeds));
+        }
+        log::set_max_level(cfg.log.level);
+        let level = cfg.log.level;
+        let mut rest = cfg.clone();
+        rest.seeds.clone_from(&self.cfg.seeds);
+        rest.control_hosts.clone_from(&self.cfg.control_hosts);
+        rest.log.level = self.cfg.log.level;
+        rest.leave_timeout = self.cfg.leave_timeout;
+        let restart = rest != self.cfg;
+        log::info!(
+            "event=704 reloaded control_hosts={changed} level={level} restart_needed={restart}"
+        );
+        self.cfg = cfg;
+    }
+
     /// Leaves the fleet without cutting a request, and waits until every task has ended.
     pub async fn stop(mut self) {
         self.counted.leaving.set(1);
         self.inboxes.event_to_all(&Event::Leave);
-        let deadline = tokio::time::Instant::now() + self.leave_timeout;
+        let deadline = tokio::time::Instant::now() + self.cfg.leave_timeout;
         for thread in &mut self.traffic {
             let _ = tokio::time::timeout_at(deadline, &mut thread.ended).await;
         }
