--- a/crates/decide/src/authority.rs
+++ b/crates/decide/src/authority.rs
@@ -48,6 +48,16 @@
     Unanswered,
 }
 
+impl OrderError {
+    /// Returns the error in a word.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 /// Why an instance is asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Purpose {
--- a/crates/decide/src/authority_note.rs
+++ b/crates/decide/src/authority_note.rs
@@ -141,13 +141,18 @@
                 service,
                 number,
                 error,
-            } => match error {
-                Some(error) => write!(
+            } => {
+                let outcome = if error.is_some() {
+                    "failed"
+                } else {
+                    "accepted"
+                };
+                let error = error.map_or("none", OrderError::name);
+                write!(
                     f,
-                    "promotion-failed service={service} order={number} error={error:?}"
-                ),
-                None => write!(f, "promotion-accepted service={service} order={number}"),
-            },
+                    "promotion-answered service={service} order={number} outcome={outcome} error={error}"
+                )
+            }
             Self::Leads {
                 service,
                 upstream,
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -171,7 +171,7 @@
         rest.leave_timeout = self.cfg.leave_timeout;
         let restart = rest != self.cfg;
         log::info!(
-            "event=704 reloaded control_hosts={changed} level={level} restart_needed={restart}"
+            "event=704 settings-changed control_hosts={changed} level={level} restart_needed={restart}"
         );
         self.cfg = cfg;
     }
--- a/crates/host/tests/events_doc.rs
+++ b/crates/host/tests/events_doc.rs
@@ -57,6 +57,8 @@
     for entry in std::fs::read_dir(crates).unwrap() {
         scan_folder(&entry.unwrap().path().join("src"), &mut found);
     }
+    let platform = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../platform/src");
+    scan_folder(&platform, &mut found);
     found
 }
 
