entry: give up a transaction whose rollback is refused; raft: keep the number of voters odd

Seen in the log of frontend-spn-4: request refused NotReady at 12.680 s, then the next one routed as pinned. Ruled out: crossed answers, connections reused while open. The configuration had run out since the core was cut into two halves of two voters. Change: a rollback that can't be sent gives the connection up; what a caller no longer knows of never takes in its next statement; three of four control hosts vote. Numbers of attempts differ between starts of a host.

--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::admit::{Admission, Admit};
-use crate::entry_flight::{Flight, Flights, backoff, deliver, finish, unpin};
+use crate::entry_flight::{Flight, Flights, backoff, deliver, finish, release, unpin};
 use crate::entry_pick::Router;
 use crate::grant::Feed;
 use crate::relay::{Bounce, RelayMsg, Run};
@@ -71,6 +71,10 @@
             return;
         };
         session.running = Some(request);
+        // What the caller no longer knows of must not take in its next statement.
+        if session.route.is_some() && !req.continues {
+            release(cx, session.pin.take());
+        }
         let dressed = session.dress(view, cx.settings.session.default_max_age, &mut req);
         let paid = session.is_paid();
         let refusal = if session.lost_transaction {
@@ -97,6 +101,10 @@
             behind: false,
             may_have_run: false,
         };
+        if refusal.is_some() && flight.req.rolls_back {
+            let pin = sessions.get_mut(session_id).and_then(|s| s.pin.take());
+            release(cx, pin);
+        }
         match refusal {
             Some(refusal) => finish(cx, sessions, flight, Verdict::NotRun(refusal)),
             None => self.send(cx, view, sessions, flight),
@@ -123,7 +131,7 @@
         let Some((place, reason)) = picked else {
             return self.park(cx, flight);
         };
-        let id = self.flights.next_id();
+        let id = self.flights.next_id(cx);
         cx.note(SessionNote::Routed {
             session: flight.session,
             request: flight.request,
@@ -166,7 +174,7 @@
             }
             Admit::Wait(wait) if cx.now + wait < flight.deadline => {
                 flight.timer = cx.now + wait;
-                let id = self.flights.next_id();
+                let id = self.flights.next_id(cx);
                 self.flights.insert(id, flight);
                 None
             }
@@ -190,7 +198,7 @@
     }
 
     fn park(&mut self, cx: &mut Cx<'_>, mut flight: Flight) {
-        let id = self.flights.next_id();
+        let id = self.flights.next_id(cx);
         if flight.req.kind == Kind::Write {
             flight.why = Refusal::NoPrimary;
         }
--- a/crates/decide/src/entry_flight.rs
+++ b/crates/decide/src/entry_flight.rs
@@ -15,6 +15,8 @@
 
 /// The shortest wait before a request is sent again.
 const RETRY_MIN: Duration = Duration::from_millis(5);
+/// Bits of a request's number that count the attempts of one start of the host.
+const START_BITS: u32 = 22;
 /// The longest wait before a request is sent again.
 const RETRY_MAX: Duration = Duration::from_millis(80);
 
@@ -68,8 +70,11 @@
 
 impl Flights {
     /// Returns a number for the next attempt.
-    pub(crate) fn next_id(&mut self) -> RequestId {
-        self.last_id += 1;
+    ///
+    /// No earlier start of the host has used it, whose answers may still be under way.
+    pub(crate) fn next_id(&mut self, cx: &Cx<'_>) -> RequestId {
+        let first = cx.me.incarnation << START_BITS;
+        self.last_id = self.last_id.max(first) + 1;
         self.last_id
     }
 
@@ -126,6 +131,17 @@
     }
 }
 
+/// Gives up the connection of a transaction, which rolls it back.
+pub(crate) fn release(cx: &mut Cx<'_>, pin: Option<Pin>) {
+    if let Some(pin) = pin {
+        let msg = RelayMsg::Unpin {
+            upstream: pin.upstream,
+            pin: pin.conn,
+        };
+        cx.send(pin.owner, msg);
+    }
+}
+
 /// Returns a jittered wait that grows with the attempts.
 pub(crate) fn backoff(cx: &mut Cx<'_>, attempts: u32) -> Duration {
     let most = RETRY_MIN * 2u32.saturating_pow(attempts.min(4));
--- a/crates/decide/src/raft_change.rs
+++ b/crates/decide/src/raft_change.rs
@@ -64,7 +64,17 @@
     }
 
     /// Counts a learner that has caught up.
+    ///
+    /// Where the leader makes voters by itself, their number stays odd, so that one half of a
+    /// fleet that is cut in two goes on; a lost voter is replaced before it is dropped.
     fn promotion(&self, cx: &Cx<'_>) -> Option<Step> {
+        let settings = &cx.settings.raft;
+        let wanted = self.membership.members().count().min(settings.voters_max);
+        let odd = wanted - usize::from(wanted % 2 == 0);
+        let full = self.membership.voters.len() >= odd;
+        if settings.auto_members && full && self.lost_member(cx).is_none() {
+            return None;
+        }
         let mut learners = self.membership.learners.iter();
         let member = learners
             .find(|learner| self.is_live(cx, learner) && self.has_caught_up(learner))?
@@ -92,10 +102,16 @@
 
     /// Drops a voter that was silent for long, as long as enough others are there.
     fn loss(&self, cx: &Cx<'_>) -> Option<Step> {
-        let settings = &cx.settings.raft;
-        if !settings.auto_members || self.live_voters(cx) < LEAST_VOTERS {
+        if !cx.settings.raft.auto_members || self.live_voters(cx) < LEAST_VOTERS {
             return None;
         }
+        let member = self.lost_member(cx)?;
+        Some(self.drop_step(member.clone()))
+    }
+
+    /// Returns a member that has been silent for long.
+    fn lost_member(&self, cx: &Cx<'_>) -> Option<&Member> {
+        let settings = &cx.settings.raft;
         let silent = |member: &Member| {
             let heard = self.heard_at(member).unwrap_or(self.led_since()?);
             Some(cx.now >= heard + settings.lost_after)
@@ -104,8 +120,7 @@
             .membership
             .members()
             .filter(|member| **member != self.me);
-        let member = members.find(|member| silent(member) == Some(true))?;
-        Some(self.drop_step(member.clone()))
+        members.find(|member| silent(member) == Some(true))
     }
 
     fn led_since(&self) -> Option<Instant> {
@@ -153,9 +168,9 @@
         let wanted = |host: &HostId| {
             let mut members = self.membership.members();
             let mut calls = leader.waiting.iter().filter_map(|call| call.adds());
-            let room = self.live_voters(cx) < cx.settings.raft.voters_max;
-            let auto = cx.settings.raft.auto_members && room;
-            auto || members.any(|member| member.host == *host) || calls.any(|added| added == host)
+            cx.settings.raft.auto_members
+                || members.any(|member| member.host == *host)
+                || calls.any(|added| added == host)
         };
         let lasts = cx.settings.raft.heartbeat * HELLO_LASTS_HEARTBEATS;
         let strangers = self
--- a/crates/decide/src/traffic.rs
+++ b/crates/decide/src/traffic.rs
@@ -10,6 +10,7 @@
 use crate::caller::CallerEvent;
 use crate::commit::{Commits, Resolved};
 use crate::entry::Entry;
+use crate::entry_flight::release;
 use crate::event::{AwaitCommit, Probed};
 use crate::owner::Owners;
 use crate::relay::{Bounce, RelayMsg, Run};
@@ -125,13 +126,7 @@
     fn closed(&mut self, cx: &mut Cx<'_>, session: SessionId) {
         self.entry.cancel(cx, session);
         let pin = self.sessions.remove(session).and_then(|s| s.pin);
-        if let Some(pin) = pin {
-            let msg = RelayMsg::Unpin {
-                upstream: pin.upstream,
-                pin: pin.conn,
-            };
-            cx.send(pin.owner, msg);
-        }
+        release(cx, pin);
     }
 
     fn relay(&mut self, cx: &mut Cx<'_>, from: PartAddr, msg: RelayMsg) {
--- a/crates/decide/tests/owner_chaos/mod.rs
+++ b/crates/decide/tests/owner_chaos/mod.rs
@@ -179,6 +179,7 @@
                 kind: if write { Kind::Write } else { Kind::Read },
                 transaction: pin.is_some() || self.rng.random_bool(0.3),
                 continues: false,
+                rolls_back: false,
                 read_only: false,
                 priority: 0,
                 repeatable: self.rng.random_bool(0.3),
--- a/crates/decide/tests/owner_harness/mod.rs
+++ b/crates/decide/tests/owner_harness/mod.rs
@@ -245,6 +245,7 @@
                 },
                 transaction: line.has("tx"),
                 continues: false,
+                rolls_back: false,
                 read_only: false,
                 priority: 0,
                 repeatable: line.has("repeatable"),
--- a/crates/decide/tests/owner_load/mod.rs
+++ b/crates/decide/tests/owner_load/mod.rs
@@ -157,6 +157,7 @@
             kind: Kind::Read,
             transaction: false,
             continues: false,
+            rolls_back: false,
             read_only: false,
             priority: 0,
             repeatable: true,
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -30,6 +30,9 @@
     /// Whether it belongs to a transaction that an earlier request has opened.
     #[serde(default)]
     pub continues: bool,
+    /// Whether it rolls its transaction back, which giving up the connection does too.
+    #[serde(default)]
+    pub rolls_back: bool,
     /// Whether the transaction that it opens or continues only reads.
     #[serde(default)]
     pub read_only: bool,
--- a/crates/pg/src/front.rs
+++ b/crates/pg/src/front.rs
@@ -269,6 +269,7 @@
             kind,
             transaction: in_transaction,
             continues: false,
+            rolls_back: false,
             read_only: false,
             priority: 0,
             repeatable: kind == Kind::Read && !in_transaction,
