--- a/crates/decide/src/entry_flight.rs
+++ b/crates/decide/src/entry_flight.rs
@@ -170,6 +170,8 @@
         cx.note(SessionNote::Answered {
             session: flight.session,
             request: flight.request,
+            workspace: flight.req.workspace.clone(),
+            waited: cx.now.saturating_duration_since(flight.since),
             verdict: answer.verdict,
         });
     }
--- a/crates/decide/src/session.rs
+++ b/crates/decide/src/session.rs
@@ -368,6 +368,10 @@
         session: SessionId,
         /// The request.
         request: RequestId,
+        /// Who would have paid.
+        workspace: WorkspaceId,
+        /// How long it was there.
+        waited: Duration,
         /// Whether it may have run.
         verdict: Verdict,
     },
@@ -435,10 +439,13 @@
             Self::Answered {
                 session,
                 request,
+                workspace,
+                waited,
                 verdict,
             } => write!(
                 f,
-                "answered session={session} request={request} verdict={verdict:?}"
+                "answered session={session} request={request} workspace={workspace} waited_ms={} verdict={verdict:?}",
+                waited.as_millis()
             ),
             Self::Login {
                 session,
