--- a/crates/decide/src/authority_service.rs
+++ b/crates/decide/src/authority_service.rs
@@ -47,6 +47,8 @@
     failures: u32,
     asking: bool,
     probe_at: Instant,
+    /// Since when its announcement is not renewed any more.
+    lapsed: Option<Instant>,
 }
 
 /// A replica that is gone, and the position up to which the others need not fear for its log.
@@ -66,6 +68,8 @@
     /// Replicas are asked to stop receiving.
     Fencing {
         term: Term,
+        /// Whether the present primary stays, and is only ordered anew.
+        keep: bool,
         until: Instant,
         fenced: BTreeMap<UpstreamId, (Position, u64)>,
         ask_at: Instant,
@@ -101,6 +105,10 @@
     absent_since: Option<Instant>,
     /// Whether an order may still be carried out of which no answer came.
     in_doubt: bool,
+    /// Whether no order of an earlier leader can be carried out any more.
+    settled: bool,
+    /// Whether this leadership has fenced a replica.
+    fenced_here: bool,
     /// The highest term that replicas were asked to stop for.
     tried: Term,
     attempt: u64,
@@ -117,6 +125,8 @@
             stage: Stage::Idle { not_before: now },
             absent_since: None,
             in_doubt: false,
+            settled: false,
+            fenced_here: false,
             tried: 0,
             attempt: 0,
         }
@@ -129,6 +139,8 @@
         };
         self.absent_since = None;
         self.in_doubt = false;
+        self.settled = false;
+        self.fenced_here = false;
         for member in self.members.values_mut() {
             member.asking = false;
             member.failures = 0;
@@ -154,7 +166,9 @@
                 failures: 0,
                 asking: false,
                 probe_at: now,
+                lapsed: None,
             });
+            member.lapsed = None;
             if member.announcement != seen.announcement {
                 member.announcement = seen.announcement.clone();
                 member.probe_at = now;
@@ -172,10 +186,24 @@
         self.drop_members(now, |_| true);
     }
 
+    /// Marks the instances that are not announced any more, and drops those that are lost.
+    ///
+    /// One that still answers is there: its announcements may be held up.
     fn drop_members(&mut self, now: Instant, gone: impl Fn(&UpstreamId) -> bool) {
-        let primary = self.primary.as_ref().map(|(_, id)| id.clone());
         let gone: Vec<UpstreamId> = self.members.keys().filter(|id| gone(id)).cloned().collect();
         for id in gone {
+            if let Some(member) = self.members.get_mut(&id) {
+                member.lapsed.get_or_insert(now);
+            }
+        }
+        let primary = self.primary.as_ref().map(|(_, id)| id.clone());
+        let lost: Vec<UpstreamId> = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.lapsed.is_some() && member.failures >= LOST_AFTER)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lost {
             self.members.remove(&id);
             if Some(&id) != primary.as_ref() {
                 let covered = None;
@@ -251,8 +279,11 @@
         if told.status.term < self.term() {
             return;
         }
-        for lost in self.lost.values_mut().filter(|lost| lost.since < asked_at) {
-            lost.covered.get_or_insert(told.status.position);
+        // While replicas are fenced, the primary's position runs ahead of what is acknowledged.
+        if self.is_idle() && self.members.values().all(|member| member.held == 0) {
+            for lost in self.lost.values_mut().filter(|lost| lost.since < asked_at) {
+                lost.covered.get_or_insert(told.status.position);
+            }
         }
         self.absent_since = None;
         if let Stage::Watching { upstream, .. } = &self.stage
@@ -260,6 +291,7 @@
         {
             self.stage = Stage::Idle { not_before: cx.now };
             self.in_doubt = false;
+            self.settled = true;
         }
         if !leads {
             let term = told.status.term;
@@ -305,6 +337,7 @@
 
     /// Does what is due.
     pub(crate) fn step(&mut self, cx: &mut Cx<'_>, outbox: &mut Outbox) {
+        self.drop_members(cx.now, |_| false);
         self.probe_due(cx, outbox);
         match &self.stage {
             Stage::Idle { not_before } if cx.now >= *not_before => self.judge(cx),
@@ -391,7 +424,11 @@
                 .and_then(|primary| primary.heard_at)
                 .map(|at| cx.now - at),
         });
+        // An order for the primary that leads makes every earlier order void. With all
+        // replicas fenced it has every write, even if an earlier order is carried out first.
+        let keep = self.in_doubt && self.primary_leads();
         self.stage = Stage::Fencing {
+            keep,
             term: self.tried,
             until: cx.now + FENCE_TIME,
             fenced: BTreeMap::new(),
@@ -409,7 +446,8 @@
         }
         // An earlier leader has fenced replicas, and its order may still be under way.
         let fenced = |member: &Member| member.held > self.term() && self.term() > 0;
-        if self.members.values().any(fenced) {
+        if !self.settled && self.members.values().any(fenced) {
+            self.in_doubt = true;
             return Some("left-fenced");
         }
         let Some((_, id)) = &self.primary else {
@@ -435,6 +473,16 @@
         (primary.announcement.draining && heir).then_some("leaving")
     }
 
+    /// Returns whether the primary is known to lead.
+    fn primary_leads(&self) -> bool {
+        let primary = self.primary.as_ref();
+        let primary = primary.and_then(|(_, id)| self.members.get(id));
+        primary.is_some_and(|member| {
+            let role = member.status.as_ref().map(|(status, _)| status.role);
+            role == Some(Role::Primary) && member.failures == 0
+        })
+    }
+
     /// Returns the replicas that must stop receiving before a choice.
     fn required(&self) -> BTreeSet<UpstreamId> {
         let primary = self.primary.as_ref().map(|(_, id)| id);
@@ -445,6 +493,7 @@
     fn fence(&mut self, cx: &mut Cx<'_>, outbox: &mut Outbox) {
         let required = self.required();
         let attempt = self.attempt;
+        self.fenced_here = true;
         let Stage::Fencing {
             term,
             fenced,
@@ -486,15 +535,22 @@
             }
             return;
         }
+        *ask_at = cx.now + QUICK;
         self.choose(cx, outbox);
     }
 
     /// Chooses the fenced replica with the highest position, and wants a number for the order.
     fn choose(&mut self, cx: &mut Cx<'_>, outbox: &mut Outbox) {
-        let Stage::Fencing { fenced, .. } = &self.stage else {
+        let Stage::Fencing { fenced, keep, .. } = &self.stage else {
             return;
         };
         let fenced = fenced.clone();
+        if *keep
+            && self.primary_leads()
+            && let Some((_, id)) = self.primary.clone()
+        {
+            return self.want_order(cx, outbox, &id, fenced);
+        }
         let lasting = |id: &UpstreamId| {
             let member = self.members.get(id);
             member.is_some_and(|m| !m.announcement.draining && !m.announcement.warming)
@@ -514,6 +570,18 @@
             upstream: chosen.clone(),
             position: *position,
         });
+        let chosen = chosen.clone();
+        self.want_order(cx, outbox, &chosen, fenced);
+    }
+
+    /// Wants a number for the order to promote an instance.
+    fn want_order(
+        &mut self,
+        cx: &mut Cx<'_>,
+        outbox: &mut Outbox,
+        chosen: &UpstreamId,
+        fenced: BTreeMap<UpstreamId, (Position, u64)>,
+    ) {
         outbox.number(OrderTicket {
             host: cx.me.host.clone(),
             incarnation: cx.me.incarnation,
@@ -522,7 +590,7 @@
         });
         self.stage = Stage::Numbering {
             upstream: chosen.clone(),
-            fenced: fenced.clone(),
+            fenced,
             until: cx.now + ORDER_TIME,
         };
     }
@@ -630,7 +698,8 @@
     /// Lets fenced replicas receive again.
     fn release(&mut self, cx: &mut Cx<'_>, outbox: &mut Outbox) {
         // What an earlier leader has fenced is settled by an order first.
-        let fenced = |member: &Member| member.held > 0 && self.attempt > 0;
+        let (own, term) = (self.settled || self.fenced_here, self.term());
+        let fenced = |member: &Member| member.held > 0 && (own || member.held <= term);
         let held: Vec<UpstreamId> = self
             .members
             .iter()
--- a/crates/decide/src/grant.rs
+++ b/crates/decide/src/grant.rs
@@ -8,6 +8,7 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
+use model::config::Workspace;
 use model::{HostId, Incarnation, PartId, WorkspaceId};
 use serde::{Deserialize, Serialize};
 
@@ -29,6 +30,9 @@
     /// How long a host that is cut off may use its base share.
     #[serde(with = "humantime_serde")]
     pub base_lease: Duration,
+    /// The time over which rate and burst are counted together, where that is stated.
+    #[serde(with = "humantime_serde")]
+    pub window: Option<Duration>,
     /// How many hosts can have a base share.
     pub hosts_max: u16,
     /// How often a host that uses tokens reports to the leader.
@@ -48,6 +52,7 @@
             lease: Duration::from_secs(2),
             base_share: 0.4,
             base_lease: Duration::from_secs(3600),
+            window: None,
             hosts_max: 20,
             report_every: Duration::from_millis(100),
             horizon: Duration::from_millis(200),
@@ -56,6 +61,35 @@
     }
 }
 
+/// What may flow in and be used at once of a workspace's rate and burst.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Limits {
+    /// Billionths of tokens a second.
+    pub(crate) rate: NanoTokens,
+    /// Tokens at once.
+    pub(crate) burst: u32,
+}
+
+impl GrantSettings {
+    /// Returns the limits of a workspace.
+    ///
+    /// Where rate and burst are counted over a window, half of the burst flows in over each
+    /// window: what any window holds stays the same, and more of it can be used for long.
+    pub(crate) fn limits(&self, cfg: &Workspace) -> Limits {
+        let rate = NanoTokens::from(cfg.rate) * TOKEN;
+        let Some(window) = self.window.filter(|window| !window.is_zero()) else {
+            let burst = cfg.burst;
+            return Limits { rate, burst };
+        };
+        let flows = cfg.burst / 2;
+        let flow = NanoTokens::from(flows) * TOKEN * TOKEN / window.as_nanos();
+        Limits {
+            rate: rate + flow,
+            burst: cfg.burst - flows,
+        }
+    }
+}
+
 /// Tokens in billionths, so that a rate a second times nanoseconds is exact.
 pub(crate) type NanoTokens = u128;
 
--- a/crates/decide/src/grant_alloc.rs
+++ b/crates/decide/src/grant_alloc.rs
@@ -7,7 +7,7 @@
 use model::{Config, HashMap, HashSet, HostId, Incarnation, PartAddr, WorkspaceId};
 
 use crate::Cx;
-use crate::grant::{Ask, Demand, Grant, GrantMsg, GrantNote, GrantSettings, Lot, TOKEN};
+use crate::grant::{Ask, Demand, Grant, GrantMsg, GrantNote, GrantSettings, Lot};
 use crate::grant_base::{Seat, base_burst, base_share};
 use crate::grant_book::{Book, Floating};
 
@@ -252,10 +252,11 @@
     fn floating(&self, cx: &Cx<'_>, workspace: &WorkspaceId) -> Option<Floating> {
         let settings: &GrantSettings = &cx.settings.grant;
         let cfg = self.config.workspaces.get(workspace)?;
+        let limits = settings.limits(cfg);
         let mut floating = Floating {
-            rate: u128::from(cfg.rate) * TOKEN,
-            burst: cfg.burst,
-            out: cfg.burst.saturating_sub(base_burst(cfg, settings)),
+            rate: limits.rate,
+            burst: limits.burst,
+            out: limits.burst.saturating_sub(base_burst(cfg, settings)),
         };
         for seat in &self.absent {
             if let Some(base) = base_share(workspace, cfg, *seat, settings) {
--- a/crates/decide/src/grant_base.rs
+++ b/crates/decide/src/grant_base.rs
@@ -3,7 +3,7 @@
 use model::WorkspaceId;
 use model::config::Workspace;
 
-use crate::grant::{GrantSettings, NanoTokens, TOKEN};
+use crate::grant::{GrantSettings, NanoTokens};
 
 /// Numbers the hosts that can have a base share, below `hosts_max`.
 pub type Seat = u16;
@@ -28,7 +28,8 @@
 impl Division {
     /// Divides the burst into whole tokens, among fewer seats if it is small.
     fn of(cfg: &Workspace, settings: &GrantSettings) -> Self {
-        let base = (f64::from(cfg.burst) * settings.base_share) as u32;
+        let burst = settings.limits(cfg).burst;
+        let base = (f64::from(burst) * settings.base_share) as u32;
         let max = settings.hosts_max;
         match base / u32::from(max.max(1)) {
             0 => Self {
@@ -54,7 +55,7 @@
     if seat >= settings.hosts_max || (u64::from(seat) + offset) % max >= u64::from(seats) {
         return None;
     }
-    let all = (f64::from(cfg.rate) * settings.base_share * TOKEN as f64) as NanoTokens;
+    let all = (settings.limits(cfg).rate as f64 * settings.base_share) as NanoTokens;
     let rate = all / NanoTokens::from(seats);
     Some(BaseShare { rate, burst })
 }
--- a/crates/host/tests/settings_doc.rs
+++ b/crates/host/tests/settings_doc.rs
@@ -88,6 +88,7 @@
     cfg.log.file = Some("log".into());
     cfg.listen.platform = Some("127.0.0.1:2".parse().unwrap());
     cfg.orders.address = Some("127.0.0.1:3".parse().unwrap());
+    cfg.grant.window = Some(std::time::Duration::from_secs(5));
     cfg.spread.revoke_within = Some(std::time::Duration::from_secs(5));
     cfg
 }
