--- a/crates/decide/src/raft_change.rs
+++ b/crates/decide/src/raft_change.rs
@@ -72,11 +72,16 @@
         let wanted = self.membership.members().count().min(settings.voters_max);
         let odd = wanted - usize::from(wanted % 2 == 0);
         let full = self.membership.voters.len() >= odd;
-        if settings.auto_members && full && self.lost_member(cx).is_none() {
-            return None;
-        }
-        let mut learners = self.membership.learners.iter();
+        let waits = settings.auto_members && full && self.lost_member(cx).is_none();
+        // A new store of a voter's host replaces the one that is gone, and at once: until then
+        // the loss of another disk could not be borne.
+        let replaces = |learner: &Member| {
+            let mut voters = self.membership.voters.iter();
+            voters.any(|voter| voter.host == learner.host)
+        };
+        let learners = self.membership.learners.iter();
         let member = learners
+            .filter(|learner| !waits || replaces(learner))
             .find(|learner| self.is_live(cx, learner) && self.has_caught_up(learner))?
             .clone();
         let mut membership = self.membership.clone();
