--- a/crates/decide/src/authority_service.rs
+++ b/crates/decide/src/authority_service.rs
@@ -27,6 +27,8 @@
 const ORDER_TIME: Duration = Duration::from_millis(2500);
 /// How long the chosen instance may take to lead.
 const LEAD_TIME: Duration = Duration::from_millis(2500);
+/// How long the instances of a service may take to announce themselves; twice a usual interval.
+const ALL_ANNOUNCED: Duration = Duration::from_secs(3);
 /// How long a service is left alone after an attempt that failed.
 const PAUSE: Duration = Duration::from_millis(300);
 /// How long a service may lack a primary before one is made.
@@ -107,6 +109,8 @@
     in_doubt: bool,
     /// Whether no order of an earlier leader can be carried out any more.
     settled: bool,
+    /// From when all its instances must have announced themselves.
+    known_from: Instant,
     /// Whether this leadership has fenced a replica.
     fenced_here: bool,
     /// The highest term that replicas were asked to stop for.
@@ -126,6 +130,7 @@
             absent_since: None,
             in_doubt: false,
             settled: false,
+            known_from: now + ALL_ANNOUNCED,
             fenced_here: false,
             tried: 0,
             attempt: 0,
@@ -340,7 +345,10 @@
         self.drop_members(cx.now, |_| false);
         self.probe_due(cx, outbox);
         match &self.stage {
-            Stage::Idle { not_before } if cx.now >= *not_before => self.judge(cx),
+            Stage::Idle { not_before } if cx.now >= self.known_from.max(*not_before) => {
+                self.judge(cx);
+                self.fence(cx, outbox);
+            }
             Stage::Idle { .. } => {}
             Stage::Fencing { until, .. } if cx.now >= *until => {
                 self.give_up(cx, outbox, "not-fenced");
--- /dev/null
+++ b/crates/decide/tests/authority.rs
@@ -0,0 +1,322 @@
+//! The quorum's authority over primaries, with instances that answer by a script.
+#![allow(clippy::unwrap_used, reason = "a test that meets an error ends there")]
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use decide::ask::{Ask, AskError, Told};
+use decide::authority::{Authority, AuthorityKind, Order};
+use decide::spread::Fact;
+use decide::view::{ServiceView, UpstreamView};
+use decide::{Cx, Effect, Event, Settings, View};
+use model::{Announcement, HostInfo, InstanceStatus, Position, Role, Term, UpstreamId};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// An instance as it really is.
+struct Instance {
+    role: Role,
+    term: Term,
+    position: Position,
+    held: Term,
+    reachable: bool,
+    incarnation: u64,
+}
+
+/// A leader of consensus with three instances of one service.
+struct World {
+    now: Instant,
+    settings: Settings,
+    me: HostInfo,
+    rng: SmallRng,
+    authority: Authority,
+    instances: BTreeMap<&'static str, Instance>,
+    primary: Option<(Term, UpstreamId)>,
+    orders: Vec<Order>,
+    /// Whether the platform answers orders.
+    answers: bool,
+    number: u64,
+    answered: VecDeque<Event>,
+}
+
+impl World {
+    fn new() -> Self {
+        let mut settings = Settings::default();
+        settings.group.authority = AuthorityKind::Quorum;
+        let instance = |role| Instance {
+            role,
+            term: 1,
+            position: Position::new(1, 10),
+            held: 0,
+            reachable: true,
+            incarnation: 1,
+        };
+        let instances = BTreeMap::from([
+            ("a", instance(Role::Primary)),
+            ("b", instance(Role::Replica)),
+            ("c", instance(Role::Replica)),
+        ]);
+        let mut world = Self {
+            now: Instant::now(),
+            settings,
+            me: HostInfo {
+                host: "control-1".into(),
+                data_centre: "dc-1".into(),
+                peer_addr: "127.0.0.1:1".parse().unwrap(),
+                incarnation: 7,
+                traffic_parts: 0,
+                entry: false,
+                control: true,
+                leaving: false,
+            },
+            rng: SmallRng::seed_from_u64(1),
+            authority: Authority::default(),
+            instances,
+            primary: None,
+            orders: Vec::new(),
+            answers: true,
+            number: 100,
+            answered: VecDeque::new(),
+        };
+        world.act(|authority, cx| authority.set_leader(cx, true));
+        world.announce(&["a", "b", "c"]);
+        world
+    }
+
+    fn view(&self, announced: &[&'static str]) -> View {
+        let mut view = View::default();
+        for id in announced {
+            let instance = &self.instances[id];
+            let announcement = Announcement {
+                upstream: (*id).into(),
+                service: "pots".into(),
+                addr: "127.0.0.1:2".parse().unwrap(),
+                data_centre: "dc-1".into(),
+                group_size: 0,
+                slots: 2,
+                connections: 0,
+                incarnation: instance.incarnation,
+                sequence: 1,
+                role: None,
+                warming: false,
+                draining: false,
+                leaving: false,
+            };
+            let owners = Vec::new();
+            let up = UpstreamView {
+                announcement,
+                owners,
+            };
+            view.upstreams.insert((*id).into(), up);
+        }
+        let service = ServiceView {
+            primary: self.primary.clone(),
+            upstreams: announced.iter().map(|id| (*id).into()).collect(),
+            group_size: 0,
+        };
+        view.services.insert("pots".into(), service);
+        view
+    }
+
+    fn announce(&mut self, announced: &[&'static str]) {
+        let view = Arc::new(self.view(announced));
+        self.act(|authority, cx| authority.sync(cx, &view));
+    }
+
+    /// Lets the authority act, and runs what follows.
+    fn act(&mut self, run: impl FnOnce(&mut Authority, &mut Cx<'_>)) {
+        let mut effects = Vec::new();
+        let mut raised = VecDeque::new();
+        let cx = &mut Cx {
+            now: self.now,
+            me: &self.me,
+            part: model::CONTROL,
+            settings: &self.settings,
+            rng: &mut self.rng,
+            effects: &mut effects,
+            raised: &mut raised,
+        };
+        run(&mut self.authority, cx);
+        for event in raised {
+            if let Event::Learned(Fact::Primary { term, upstream, .. }) = event {
+                self.primary = Some((term, upstream));
+            }
+        }
+        for effect in effects {
+            match effect {
+                Effect::Ask {
+                    id, upstream, ask, ..
+                } => {
+                    let result = self.ask(&upstream, &ask);
+                    self.answered.push_back(Event::Told { id, result });
+                }
+                Effect::Order(order) => {
+                    self.orders.push(order.clone());
+                    if self.answers {
+                        self.promote(&order.upstream);
+                        let result = Ok(());
+                        self.answered.push_back(Event::Ordered { order, result });
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn ask(&mut self, upstream: &UpstreamId, ask: &Ask) -> Result<Told, AskError> {
+        let instance = self.instances.get_mut(&**upstream).unwrap();
+        if !instance.reachable {
+            return Err(AskError::Unreachable);
+        }
+        match ask {
+            Ask::Pause { term } if instance.role == Role::Replica => {
+                instance.held = instance.held.max(*term);
+            }
+            Ask::Resume => instance.held = 0,
+            _ => {}
+        }
+        Ok(Told {
+            status: InstanceStatus {
+                role: instance.role,
+                term: instance.term,
+                position: instance.position,
+                lag: Duration::ZERO,
+            },
+            granted: true,
+            held: instance.held,
+            claim: None,
+        })
+    }
+
+    /// The platform makes an instance primary; the others stay fenced until they are released.
+    fn promote(&mut self, upstream: &UpstreamId) {
+        let chosen = &self.instances[&**upstream];
+        if chosen.role == Role::Primary {
+            return;
+        }
+        let term = self.instances.values().map(|i| i.term).max().unwrap() + 1;
+        for (id, instance) in &mut self.instances {
+            let chosen = **id == **upstream;
+            instance.role = if chosen { Role::Primary } else { Role::Replica };
+            if instance.reachable {
+                instance.term = term;
+            }
+            if chosen {
+                instance.held = 0;
+            }
+        }
+    }
+
+    /// Runs for a time, tick by tick, and checks that no tick is wanted in the past.
+    fn run(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            while let Some(event) = self.answered.pop_front() {
+                match event {
+                    Event::Told { id, result } => self.act(|a, cx| a.on_told(cx, id, result)),
+                    Event::Ordered { order, result } => {
+                        self.act(|a, cx| a.on_ordered(cx, &order, result));
+                    }
+                    _ => {}
+                }
+                for ticket in self.authority.take_tickets() {
+                    self.number += 1;
+                    let number = self.number;
+                    self.act(|a, cx| a.on_numbered(cx, number, &ticket));
+                }
+            }
+            self.now += Duration::from_millis(10);
+            self.act(|authority, cx| authority.on_tick(cx));
+            let wake_at = self.authority.wake_at();
+            let past = wake_at.is_some_and(|at| at <= self.now);
+            assert!(!past, "a tick is wanted in the past");
+        }
+    }
+
+    fn ordered(&self) -> Vec<&str> {
+        self.orders.iter().map(|order| &*order.upstream).collect()
+    }
+}
+
+#[test]
+fn a_lost_primary_is_replaced_by_the_replica_that_has_most() {
+    let mut world = World::new();
+    world.run(Duration::from_secs(4));
+    world.instances.get_mut("c").unwrap().position = Position::new(1, 12);
+    world.instances.get_mut("a").unwrap().reachable = false;
+    world.run(Duration::from_secs(3));
+    assert_eq!(world.ordered(), ["c"]);
+    assert_eq!(world.primary, Some((2, "c".into())));
+}
+
+#[test]
+fn no_order_is_given_while_a_replica_that_may_have_more_is_not_fenced() {
+    let mut world = World::new();
+    world.run(Duration::from_secs(4));
+    world.instances.get_mut("a").unwrap().reachable = false;
+    world.instances.get_mut("b").unwrap().reachable = false;
+    world.run(Duration::from_secs(10));
+    assert!(world.orders.is_empty(), "{:?}", world.orders);
+}
+
+#[test]
+fn no_order_is_given_before_all_instances_can_have_announced_themselves() {
+    let mut world = World::new();
+    world.instances.get_mut("a").unwrap().reachable = false;
+    world.run(Duration::from_secs(2));
+    assert!(world.orders.is_empty(), "{:?}", world.orders);
+    world.run(Duration::from_secs(3));
+    assert_eq!(world.orders.len(), 1);
+}
+
+#[test]
+fn an_instance_that_answers_counts_even_if_its_announcement_has_lapsed() {
+    let mut world = World::new();
+    world.run(Duration::from_secs(4));
+    world.announce(&["b", "c"]);
+    world.run(Duration::from_secs(5));
+    assert!(world.orders.is_empty(), "{:?}", world.orders);
+}
+
+#[test]
+fn replicas_that_stay_fenced_after_a_promotion_cause_no_other_one() {
+    let mut world = World::new();
+    world.run(Duration::from_secs(4));
+    world.instances.get_mut("b").unwrap().held = 9;
+    world.instances.get_mut("a").unwrap().reachable = false;
+    world.run(Duration::from_secs(3));
+    world.instances.get_mut("a").unwrap().reachable = true;
+    world.run(Duration::from_secs(10));
+    assert_eq!(world.orders.len(), 1, "{:?}", world.orders);
+    assert!(world.instances.values().all(|instance| instance.held == 0));
+}
+
+#[test]
+fn an_open_order_of_an_earlier_leader_is_settled_by_ordering_the_present_primary() {
+    let mut world = World::new();
+    for id in ["b", "c"] {
+        world.instances.get_mut(id).unwrap().held = 5;
+    }
+    // The primary goes on writing what no replica gets.
+    world.instances.get_mut("a").unwrap().position = Position::new(1, 99);
+    world.run(Duration::from_secs(6));
+    assert_eq!(world.ordered(), ["a"]);
+    assert!(world.instances.values().all(|instance| instance.held == 0));
+}
+
+#[test]
+fn an_order_without_an_answer_is_given_again_with_a_higher_number() {
+    let mut world = World::new();
+    world.run(Duration::from_secs(4));
+    world.answers = false;
+    world.instances.get_mut("a").unwrap().reachable = false;
+    world.run(Duration::from_secs(5));
+    assert!(!world.orders.is_empty());
+    assert!(world.instances["b"].held > 0, "a replica was released");
+    world.answers = true;
+    world.run(Duration::from_secs(5));
+    let numbers: Vec<u64> = world.orders.iter().map(|order| order.number).collect();
+    assert!(numbers.len() > 1 && numbers.is_sorted_by(|a, b| a < b));
+    assert_eq!(world.instances["b"].held, 0);
+}
