--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -135,6 +135,7 @@
         cx.note(SessionNote::Routed {
             session: flight.session,
             request: flight.request,
+            label: flight.req.label.clone(),
             upstream: place.upstream.clone(),
             owner: place.owner.host.clone(),
             reason,
@@ -205,6 +206,7 @@
         cx.note(SessionNote::Parked {
             session: flight.session,
             request: flight.request,
+            label: flight.req.label.clone(),
             refusal: flight.why,
         });
         flight.at = None;
--- a/crates/decide/src/entry_flight.rs
+++ b/crates/decide/src/entry_flight.rs
@@ -170,6 +170,7 @@
         cx.note(SessionNote::Answered {
             session: flight.session,
             request: flight.request,
+            label: flight.req.label.clone(),
             workspace: flight.req.workspace.clone(),
             waited: cx.now.saturating_duration_since(flight.since),
             verdict: answer.verdict,
--- a/crates/decide/src/owner_job.rs
+++ b/crates/decide/src/owner_job.rs
@@ -96,6 +96,7 @@
             workspace: self.run.req.workspace.clone(),
             from: self.from.host.clone(),
             request: self.run.id,
+            label: self.run.req.label.clone(),
         }
     }
 
--- a/crates/decide/src/owner_note.rs
+++ b/crates/decide/src/owner_note.rs
@@ -1,6 +1,7 @@
 //! The log lines of owners.
 
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 use model::{ConnId, HostId, RequestId, UpstreamId, WorkspaceId};
@@ -94,6 +95,8 @@
     pub from: HostId,
     /// The sender's number of it.
     pub request: RequestId,
+    /// The caller's own id of it.
+    pub label: Arc<str>,
 }
 
 impl fmt::Display for Subject {
@@ -103,10 +106,11 @@
             workspace,
             from,
             request,
+            label,
         } = self;
         write!(
             f,
-            "upstream={upstream} workspace={workspace} from={from} request={request}"
+            "upstream={upstream} workspace={workspace} from={from} request={request} id={label}"
         )
     }
 }
--- a/crates/decide/src/session.rs
+++ b/crates/decide/src/session.rs
@@ -1,6 +1,7 @@
 //! Callers' sessions: who may have one, what it has seen, and which transaction it is in.
 
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 use model::config::{ReadRule, Route};
@@ -346,6 +347,8 @@
         session: SessionId,
         /// The request.
         request: RequestId,
+        /// The caller's own id of it.
+        label: Arc<str>,
         /// The upstream.
         upstream: UpstreamId,
         /// The owner that the request went to.
@@ -359,6 +362,8 @@
         session: SessionId,
         /// The request.
         request: RequestId,
+        /// The caller's own id of it.
+        label: Arc<str>,
         /// Why it waits.
         refusal: Refusal,
     },
@@ -368,6 +373,8 @@
         session: SessionId,
         /// The request.
         request: RequestId,
+        /// The caller's own id of it.
+        label: Arc<str>,
         /// Who would have paid.
         workspace: WorkspaceId,
         /// How long it was there.
@@ -421,30 +428,33 @@
             Self::Routed {
                 session,
                 request,
+                label,
                 upstream,
                 owner,
                 reason,
             } => write!(
                 f,
-                "routed session={session} request={request} upstream={upstream} owner={owner} reason={reason}"
+                "routed session={session} request={request} id={label} upstream={upstream} owner={owner} reason={reason}"
             ),
             Self::Parked {
                 session,
                 request,
+                label,
                 refusal,
             } => write!(
                 f,
-                "parked session={session} request={request} reason={refusal:?}"
+                "parked session={session} request={request} id={label} reason={refusal:?}"
             ),
             Self::Answered {
                 session,
                 request,
+                label,
                 workspace,
                 waited,
                 verdict,
             } => write!(
                 f,
-                "answered session={session} request={request} workspace={workspace} waited_ms={} verdict={verdict:?}",
+                "answered session={session} request={request} id={label} workspace={workspace} waited_ms={} verdict={verdict:?}",
                 waited.as_millis()
             ),
             Self::Login {
--- a/crates/host/src/logs.rs
+++ b/crates/host/src/logs.rs
@@ -1,20 +1,29 @@
 //! The log: one line for each numbered event, written by a thread of its own.
 
+use std::cell::RefCell;
 use std::fs::File;
 use std::io::{self, BufWriter, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc;
 use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
 
 use decide::Note;
 use decide::note::Numbered;
 use eyre::WrapErr;
+use model::HashMap;
 
 use crate::settings::LogSettings;
 
+/// How many lines wait for the log's reader; further ones are dropped and counted.
+const WAITING_MAX: usize = 8192;
+/// How many lines of one event a thread writes in a second; further ones are counted.
+const LINES_PER_SECOND: u32 = 400;
+
 /// The thread that writes the log; dropping it writes what is left and joins it.
 #[derive(Debug)]
 pub struct LogThread {
-    tx: mpsc::Sender<String>,
+    tx: mpsc::SyncSender<String>,
     handle: Option<JoinHandle<()>>,
 }
 
@@ -39,7 +48,9 @@
         file.wrap_err_with(|| format!("log.file: {}", path.display()))
     });
     let file = file.transpose()?;
-    let (tx, rx) = mpsc::channel();
+    let stdout = cfg.stdout;
+    let (tx, rx) = mpsc::sync_channel(WAITING_MAX);
+    let output = Bounded::new(tx.clone());
     fern::Dispatch::new()
         .format(|out, message, record| {
             let now = humantime::format_rfc3339_millis(std::time::SystemTime::now());
@@ -48,13 +59,14 @@
         .level(cfg.level)
         .level_for("jsonrpsee", log::LevelFilter::Warn)
         .level_for("hyper", log::LevelFilter::Warn)
-        .chain(tx.clone())
+        .chain(fern::Output::call(move |record| output.write(record)))
         .apply()
         .wrap_err("the log is running already")?;
     let handle = std::thread::Builder::new()
         .name("log".to_owned())
         .spawn(move || match file {
             Some(file) => write_all::<File>(&rx, file),
+            None if stdout => write_all(&rx, io::stdout()),
             None => write_all(&rx, io::stderr()),
         })
         .wrap_err("the thread of the log can't be started")?;
@@ -62,6 +74,67 @@
     Ok(LogThread { tx, handle })
 }
 
+/// The way to the log's thread, which never blocks.
+struct Bounded {
+    tx: mpsc::SyncSender<String>,
+    dropped: AtomicU64,
+}
+
+impl Bounded {
+    fn new(tx: mpsc::SyncSender<String>) -> Self {
+        let dropped = AtomicU64::new(0);
+        Self { tx, dropped }
+    }
+
+    fn write(&self, record: &log::Record<'_>) {
+        let line = format!("{}\n", record.args());
+        if self.tx.try_send(line).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        if self.dropped.load(Ordering::Relaxed) > 0 {
+            let count = self.dropped.swap(0, Ordering::Relaxed);
+            let line = format!("WARN  event=706 lines-dropped count={count}\n");
+            if self.tx.try_send(line).is_err() {
+                self.dropped.fetch_add(count, Ordering::Relaxed);
+            }
+        }
+    }
+}
+
+/// The lines of one event that a thread has written in the present second.
+struct Second {
+    since: Instant,
+    written: u32,
+    left_out: u32,
+}
+
+thread_local! {
+    static SECONDS: RefCell<HashMap<u16, Second>> = RefCell::default();
+}
+
+/// Returns whether one more line of an event is written, and how many were left out before.
+fn admit(number: u16) -> (bool, u32) {
+    SECONDS.with_borrow_mut(|seconds| {
+        let now = Instant::now();
+        let second = seconds.entry(number).or_insert_with(|| Second {
+            since: now,
+            written: 0,
+            left_out: 0,
+        });
+        let mut left_out = 0;
+        if now.duration_since(second.since) >= Duration::from_secs(1) {
+            left_out = std::mem::take(&mut second.left_out);
+            second.since = now;
+            second.written = 0;
+        }
+        let admitted = second.written < LINES_PER_SECOND;
+        second.written += u32::from(admitted);
+        second.left_out += u32::from(!admitted);
+        (admitted, left_out)
+    })
+}
+
 /// Writes lines until an empty one comes, and flushes whenever none waits.
 fn write_all<W: Write>(rx: &mpsc::Receiver<String>, to: W) {
     let mut to = BufWriter::new(to);
@@ -86,7 +159,15 @@
 /// Writes the line of a numbered event.
 pub(crate) fn write(note: &Note) {
     let level = note.level();
-    if level <= log::max_level() {
-        log::log!(target: "carawaycourse", level, "event={} {note}", note.number());
+    if level > log::max_level() {
+        return;
+    }
+    let number = note.number();
+    let (admitted, left_out) = admit(number);
+    if left_out > 0 {
+        log::info!("event=707 lines-left-out number={number} count={left_out}");
+    }
+    if admitted {
+        log::log!(target: "carawaycourse", level, "event={number} {note}");
     }
 }
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -258,7 +258,9 @@
 pub struct LogSettings {
     /// The quietest level that is written: error, warn, info, debug or trace.
     pub level: log::LevelFilter,
-    /// The file to write to, or none for standard error.
+    /// Whether to write to standard output rather than to standard error.
+    pub stdout: bool,
+    /// The file to write to, or none for the standard ones.
     pub file: Option<PathBuf>,
 }
 
@@ -266,6 +268,7 @@
     fn default() -> Self {
         Self {
             level: log::LevelFilter::Info,
+            stdout: false,
             file: None,
         }
     }
--- a/crates/host/tests/events_doc.rs
+++ b/crates/host/tests/events_doc.rs
@@ -78,7 +78,7 @@
         let line = &source[at + LITERAL.len()..];
         let line = &line[..line.find('"').unwrap()];
         let (number, line) = line.split_once(' ').unwrap();
-        // `event={}` writes the events of a type.
+        // `event={number}` writes the events of a type.
         if let Ok(number) = number.parse() {
             let before = source[..at].rsplit("log::").next().unwrap();
             let level = before.split('!').next().unwrap();
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -19,6 +19,8 @@
 /// A request for an upstream, with an opaque payload.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
+    /// The caller's own id of the request, for the log; `-` where callers give none.
+    pub label: std::sync::Arc<str>,
     /// The workspace that pays for the request.
     pub workspace: WorkspaceId,
     /// The service that it is for.
