--- a/crates/decide/src/grant_leader.rs
+++ b/crates/decide/src/grant_leader.rs
@@ -9,9 +9,9 @@
 use crate::grant_hold::Holder;
 
 /// How long the leader may leave a demand unanswered before voters are asked who leads.
-const PATIENCE: Duration = Duration::from_millis(400);
+const PATIENCE: Duration = Duration::from_millis(250);
 /// How often a voter is asked while no leader answers.
-const ASK_EVERY: Duration = Duration::from_millis(200);
+const ASK_EVERY: Duration = Duration::from_millis(100);
 
 /// Asks voters in turn who leads, while that is not known.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/decide/tests/raft/disks.rs
@@ -0,0 +1,40 @@
+//! Disks that are lost one after the other, with voters that replace themselves.
+
+use std::time::Duration;
+
+use crate::harness::{Sim, service_patch};
+
+/// Starts voters that replace lost ones by themselves, with one accepted patch.
+fn started(seed: u64) -> Sim {
+    let mut sim = Sim::new(seed, &["a", "b", "c"]);
+    sim.settings.raft.auto_members = true;
+    sim.patch("x", service_patch("first", 0));
+    sim.run_for(Duration::from_millis(200));
+    sim
+}
+
+/// A second disk may be lost as soon as the first host is back.
+#[test]
+fn a_new_store_of_a_voters_host_counts_before_its_old_one_was_silent_for_long() {
+    for seed in 0..20 {
+        let mut sim = started(seed);
+        for round in 0..4 {
+            let name = ["a", "b", "c"][(seed as usize + round) % 3];
+            sim.wipe_host(name);
+            sim.start_host(name);
+            sim.run_for(Duration::from_secs(4));
+            let leader = sim.leader().expect("two of three voters are there");
+            let raft = sim.hosts[&leader].raft.as_ref();
+            let membership = raft
+                .map(|raft| raft.membership().clone())
+                .unwrap_or_default();
+            let store = sim.hosts[name].disk.as_ref().map_or(0, |disk| disk.store);
+            let counts = membership
+                .voters
+                .iter()
+                .any(|voter| &*voter.host == name && voter.store == store);
+            assert!(counts, "seed {seed} round {round}: {membership:?}");
+            assert_eq!(membership.voters.len(), 3, "seed {seed} round {round}");
+        }
+    }
+}
--- a/crates/decide/tests/raft/main.rs
+++ b/crates/decide/tests/raft/main.rs
@@ -3,6 +3,7 @@
 mod basics;
 mod checks;
 mod cut_off;
+mod disks;
 mod faults;
 mod harness;
 mod leader;
