--- a/crates/decide/src/raft_change.rs
+++ b/crates/decide/src/raft_change.rs
@@ -70,7 +70,7 @@
     fn promotion(&self, cx: &Cx<'_>) -> Option<Step> {
         let settings = &cx.settings.raft;
         let wanted = self.membership.members().count().min(settings.voters_max);
-        let odd = wanted - usize::from(wanted % 2 == 0);
+        let odd = wanted - usize::from(wanted.is_multiple_of(2));
         let full = self.membership.voters.len() >= odd;
         let waits = settings.auto_members && full && self.lost_member(cx).is_none();
         // A new store of a voter's host replaces the one that is gone, and at once: until then
