--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -15,6 +15,9 @@
 use crate::session::{Pin, SessionNote, Sessions, is_graceful};
 use crate::{Cx, View};
 
+/// The longest that any request may take, whatever its route or caller says.
+const LONGEST: std::time::Duration = std::time::Duration::from_secs(3600);
+
 /// Requests of callers that have no answer yet.
 #[derive(Debug)]
 pub struct Entry<R, A> {
@@ -86,7 +89,11 @@
             let ending = session.ending.filter(|why| !is_graceful(*why));
             ending.or(dressed.err())
         };
-        let deadline = cx.now + req.timeout;
+        // Without rules of a route, the front end may state no bound of its own.
+        let timeout = req
+            .timeout
+            .min(cx.settings.session.request_timeout.max(LONGEST));
+        let deadline = cx.now + timeout;
         let flight = Flight {
             session: session_id,
             request,
--- a/crates/decide/src/session.rs
+++ b/crates/decide/src/session.rs
@@ -50,6 +50,8 @@
     pub service: ServiceId,
     /// The route that it uses, if it named one.
     pub route: Option<RouteId>,
+    /// The rules of the route when the present transaction or request began.
+    pub rules: Option<Route>,
     /// The key that it showed, or none on an open route.
     pub key: Option<KeyId>,
     /// The position that its reads must have reached.
@@ -92,17 +94,13 @@
         req.workspace = self.workspace.clone();
         req.floor = self.floor;
         if let Some(name) = &self.route {
-            let route = view.config.routes.get(name);
-            let pinned = self.pin.is_some();
-            if let Some(route) = route {
-                if !pinned {
-                    self.service = route.service.clone();
-                }
-                follow_route(route, req);
-            } else if !pinned {
-                return Err(Refusal::NoRoute);
+            if self.pin.is_none() {
+                self.rules = view.config.routes.get(name).cloned();
             }
-            if req.continues && !pinned {
+            let rules = self.rules.as_ref().ok_or(Refusal::NoRoute)?;
+            self.service = rules.service.clone();
+            follow_route(rules, req);
+            if req.continues && self.pin.is_none() {
                 return Err(Refusal::TransactionLost);
             }
         } else if req.kind == Kind::Read && req.max_age.is_none() && self.floor.is_some() {
@@ -233,6 +231,7 @@
                 workspace,
                 service: login.service.clone(),
                 route: login.route.clone(),
+                rules: None,
                 key,
                 floor: login.token,
                 pin: None,
--- /dev/null
+++ b/crates/decide/tests/route_session.rs
@@ -0,0 +1,281 @@
+//! Callers' sessions on routes, in one traffic part without a network.
+#![allow(clippy::unwrap_used, reason = "a test that meets an error ends there")]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use decide::caller::{CallerEvent, Login};
+use decide::relay::{RelayMsg, Run};
+use decide::state::Part;
+use decide::traffic::Traffic;
+use decide::view::{ServiceView, UpstreamView};
+use decide::{Effect, Event, Msg, Settings, State, View, reduce};
+use model::config::{ReadRule, Route, Service, Workspace};
+use model::{
+    Announcement, Answer, Config, ConnId, HostInfo, KeyDigest, Kind, PartAddr, Refusal, Request,
+    TxStatus, Verdict,
+};
+
+const SESSION: u64 = 1;
+const CONN: ConnId = 77;
+
+struct World {
+    now: Instant,
+    state: State,
+    view: View,
+    effects: Vec<Effect>,
+    requests: u64,
+}
+
+fn host(name: &str) -> HostInfo {
+    HostInfo {
+        host: name.into(),
+        data_centre: "dc-1".into(),
+        peer_addr: "127.0.0.1:1".parse().unwrap(),
+        incarnation: 1,
+        traffic_parts: 1,
+        entry: true,
+        control: false,
+        leaving: false,
+    }
+}
+
+fn config(version: u64) -> Config {
+    let route = Route {
+        service: "ledger".into(),
+        reads: ReadRule::Newest,
+        timeout: Duration::from_millis(800),
+        objective: Duration::from_millis(120),
+        priority: 1,
+        open: true,
+    };
+    let key = KeyDigest::of("k1");
+    let workspace = Workspace {
+        rate: 100,
+        burst: 100,
+        services: vec!["ledger".into()],
+        keys: BTreeMap::from([(key.id(), key)]),
+    };
+    Config {
+        version,
+        workspaces: BTreeMap::from([("anna".into(), workspace)]),
+        services: BTreeMap::from([("ledger".into(), Service::default())]),
+        open_routes: BTreeMap::new(),
+        routes: BTreeMap::from([("pots".into(), route)]),
+    }
+}
+
+impl World {
+    fn new() -> Self {
+        let me = host("h1");
+        let settings = Settings::default();
+        let traffic = Traffic::new(&settings);
+        let state = State::new(me, 1, settings, 1, Part::Traffic(Box::new(traffic)));
+        let announcement = Announcement {
+            upstream: "i1".into(),
+            service: "ledger".into(),
+            addr: "127.0.0.1:2".parse().unwrap(),
+            data_centre: "dc-1".into(),
+            group_size: 0,
+            slots: 2,
+            connections: 10,
+            incarnation: 1,
+            sequence: 1,
+            role: None,
+            warming: false,
+            draining: false,
+            leaving: false,
+        };
+        let up = UpstreamView {
+            announcement,
+            owners: vec!["h2".into()],
+        };
+        let service = ServiceView {
+            primary: Some((1, "i1".into())),
+            upstreams: vec!["i1".into()],
+            group_size: 0,
+        };
+        let mut view = View {
+            config: Arc::new(config(1)),
+            usable: true,
+            ..View::default()
+        };
+        view.hosts.insert("h1".into(), host("h1"));
+        view.hosts.insert("h2".into(), host("h2"));
+        view.upstreams.insert("i1".into(), up);
+        view.services.insert("ledger".into(), service);
+        let mut world = Self {
+            now: Instant::now(),
+            state,
+            view,
+            effects: Vec::new(),
+            requests: 0,
+        };
+        world.show();
+        world
+    }
+
+    fn on(&mut self, event: Event) {
+        reduce(&mut self.state, self.now, event, &mut self.effects);
+    }
+
+    fn show(&mut self) {
+        let view = Arc::new(self.view.clone());
+        self.on(Event::View(view));
+    }
+
+    /// Logs in and returns the refusal, if there is one.
+    fn login(&mut self, route: &str, key: &str) -> Option<Refusal> {
+        let login = Login {
+            workspace: None,
+            service: "".into(),
+            route: Some(route.into()),
+            password: key.into(),
+            token: None,
+        };
+        let session = SESSION;
+        self.on(Event::Caller(CallerEvent::Login { session, login }));
+        let admitted = self.effects.drain(..).find_map(|effect| match effect {
+            Effect::Admit { result, .. } => Some(result),
+            _ => None,
+        });
+        admitted.unwrap().err()
+    }
+
+    fn request(&mut self, change: impl FnOnce(&mut Request)) {
+        let mut req = Request {
+            label: "5c".into(),
+            workspace: "".into(),
+            service: "".into(),
+            kind: Kind::Read,
+            transaction: false,
+            continues: false,
+            rolls_back: false,
+            read_only: false,
+            priority: 0,
+            repeatable: false,
+            timeout: Duration::MAX,
+            max_age: None,
+            floor: None,
+            payload: Bytes::new(),
+        };
+        change(&mut req);
+        self.requests += 1;
+        let (session, id) = (SESSION, self.requests);
+        self.on(Event::Caller(CallerEvent::Request { session, id, req }));
+    }
+
+    fn sent(&mut self) -> Vec<RelayMsg> {
+        let sent = self.effects.drain(..).filter_map(|effect| match effect {
+            Effect::Send {
+                msg: Msg::Relay(msg),
+                ..
+            } => Some(msg),
+            _ => None,
+        });
+        sent.collect()
+    }
+
+    fn run(&mut self) -> Run {
+        let sent = self.sent();
+        match sent.into_iter().next() {
+            Some(RelayMsg::Run(run)) => *run,
+            other => panic!("nothing was sent to run: {other:?}"),
+        }
+    }
+
+    /// Opens a transaction, which an upstream then has on a connection.
+    fn open(&mut self) {
+        self.request(|req| req.transaction = true);
+        let id = self.run().id;
+        let from = PartAddr {
+            host: "h2".into(),
+            part: 1,
+        };
+        let answer = Answer {
+            verdict: Verdict::Ran,
+            payload: Bytes::new(),
+            tx: TxStatus::Open,
+            position: None,
+        };
+        let pin = Some(CONN);
+        let msg = Msg::Relay(RelayMsg::Answer { id, answer, pin });
+        self.on(Event::Peer { from, msg });
+        self.effects.clear();
+    }
+}
+
+#[test]
+fn a_route_and_a_key_decide_who_gets_a_session() {
+    let mut world = World::new();
+    assert_eq!(world.login("none", "k1"), Some(Refusal::NoRoute));
+    assert_eq!(world.login("pots", "k1"), None);
+    let mut closed = config(2);
+    closed.routes.get_mut("pots").unwrap().open = false;
+    world.view.config = Arc::new(closed);
+    world.show();
+    assert_eq!(world.login("pots", "k2"), Some(Refusal::BadKey));
+}
+
+#[test]
+fn a_rollback_that_is_refused_gives_the_connection_up() {
+    let mut world = World::new();
+    world.login("pots", "");
+    world.open();
+    world.view.usable = false;
+    world.show();
+    world.effects.clear();
+    world.request(|req| {
+        req.transaction = true;
+        req.continues = true;
+        req.rolls_back = true;
+    });
+    let sent = world.sent();
+    let unpin = |msg: &RelayMsg| matches!(msg, RelayMsg::Unpin { pin: CONN, .. });
+    assert!(sent.iter().any(unpin), "{sent:?}");
+}
+
+#[test]
+fn a_statement_never_runs_in_a_transaction_that_its_caller_has_not_opened() {
+    let mut world = World::new();
+    world.login("pots", "");
+    world.open();
+    world.request(|_| {});
+    let sent = world.sent();
+    let unpin = |msg: &RelayMsg| matches!(msg, RelayMsg::Unpin { pin: CONN, .. });
+    assert!(sent.iter().any(unpin), "{sent:?}");
+    let run = sent.into_iter().find_map(|msg| match msg {
+        RelayMsg::Run(run) => Some(run),
+        _ => None,
+    });
+    assert_eq!(run.unwrap().pin, None);
+}
+
+#[test]
+fn a_route_that_is_removed_lets_an_open_transaction_end() {
+    let mut world = World::new();
+    world.login("pots", "");
+    world.open();
+    let mut without = config(2);
+    without.routes.clear();
+    world.view.config = Arc::new(without);
+    world.show();
+    world.effects.clear();
+    world.request(|req| {
+        req.transaction = true;
+        req.continues = true;
+    });
+    assert_eq!(world.run().pin, Some(CONN));
+}
+
+#[test]
+fn a_request_keeps_to_the_time_and_rank_of_its_route() {
+    let mut world = World::new();
+    world.login("pots", "");
+    world.request(|_| {});
+    let run = world.run();
+    assert_eq!(run.req.timeout, Duration::from_millis(800));
+    assert_eq!((run.req.priority, &*run.req.service), (1, "ledger"));
+}
