owner: refuse what a newer configuration than the sender's does not allow

Ruled out: a host that takes an older configuration (event 530 only rises on it). Change: a request carries the version, route and key by which it was let in; an owner whose configuration is newer checks them again. Test in route_session.

--- a/crates/decide/src/session.rs
+++ b/crates/decide/src/session.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use model::config::{ReadRule, Route};
-use model::{ConnId, Request, key::split_password};
 use model::{
-    HashMap, HostId, KeyDigest, KeyId, Kind, PartAddr, Position, Refusal, RequestId, RouteId,
-    ServiceId, SessionId, UpstreamId, Verdict, WorkspaceId,
+    Access, HashMap, HostId, KeyDigest, KeyId, Kind, PartAddr, Position, Refusal, RequestId,
+    RouteId, ServiceId, SessionId, UpstreamId, Verdict, WorkspaceId,
 };
+use model::{ConnId, Request, key::split_password};
 use serde::{Deserialize, Serialize};
 
 use crate::caller::Login;
@@ -100,6 +100,11 @@
             let rules = self.rules.as_ref().ok_or(Refusal::NoRoute)?;
             self.service = rules.service.clone();
             follow_route(rules, req);
+            req.access = Some(Access {
+                version: view.config.version,
+                route: name.clone(),
+                key: self.key.clone(),
+            });
             if req.continues && self.pin.is_none() {
                 return Err(Refusal::TransactionLost);
             }
--- a/crates/decide/src/traffic.rs
+++ b/crates/decide/src/traffic.rs
@@ -146,6 +146,13 @@
 
     /// Takes a request for an upstream, unless it is a write that could not be confirmed.
     fn run(&mut self, cx: &mut Cx<'_>, from: PartAddr, run: Run) {
+        // This host may know of a configuration that the sender does not know yet.
+        let access = run.req.access.as_ref().filter(|_| run.pin.is_none());
+        let refusal = access.and_then(|access| access.refused_by(&self.view.config, &run.req));
+        if let Some(refusal) = refusal {
+            let (id, why) = (run.id, Bounce::Refused(refusal));
+            return cx.send(from, RelayMsg::Bounce { id, why });
+        }
         let new_write = run.req.kind == Kind::Write && run.pin.is_none();
         if new_write && !self.commits.can_confirm(cx, &self.view, &run.req.service) {
             let (id, why) = (run.id, Bounce::Unavailable);
--- a/crates/decide/tests/owner_chaos/mod.rs
+++ b/crates/decide/tests/owner_chaos/mod.rs
@@ -174,6 +174,7 @@
             upstream: "u1".into(),
             pin,
             req: Request {
+                access: None,
                 label: "-".into(),
                 workspace: format!("w{}", self.rng.random_range(0..3)).into(),
                 service: "s".into(),
--- a/crates/decide/tests/owner_harness/mod.rs
+++ b/crates/decide/tests/owner_harness/mod.rs
@@ -237,6 +237,7 @@
             upstream: line.text("on", "u1"),
             pin: line.find("pin").map(conn_id),
             req: Request {
+                access: None,
                 label: "-".into(),
                 workspace: line.text("ws", "w"),
                 service: line.text("service", "s"),
--- a/crates/decide/tests/owner_load/mod.rs
+++ b/crates/decide/tests/owner_load/mod.rs
@@ -152,6 +152,7 @@
         upstream: "u1".into(),
         pin: None,
         req: Request {
+            access: None,
             label: "-".into(),
             workspace: format!("w{workspace}").into(),
             service: "s".into(),
--- a/crates/decide/tests/route_session.rs
+++ b/crates/decide/tests/route_session.rs
@@ -146,6 +146,7 @@
 
     fn request(&mut self, change: impl FnOnce(&mut Request)) {
         let mut req = Request {
+            access: None,
             label: "5c".into(),
             workspace: "".into(),
             service: "".into(),
@@ -279,3 +280,48 @@
     assert_eq!(run.req.timeout, Duration::from_millis(800));
     assert_eq!((run.req.priority, &*run.req.service), (1, "ledger"));
 }
+
+#[test]
+fn an_owner_refuses_what_its_newer_configuration_does_not_allow() {
+    let mut world = World::new();
+    let mut newer = config(9);
+    newer.routes.clear();
+    world.view.config = Arc::new(newer);
+    world.show();
+    world.effects.clear();
+    let mut sender = World::new();
+    sender.login("pots", "k1");
+    sender.request(|_| {});
+    let run = loop {
+        match sender.sent().into_iter().next() {
+            Some(RelayMsg::Run(run)) => break run,
+            _ => {
+                // The sender asks for a token first.
+                let lots = vec![decide::grant::Lot {
+                    workspace: "anna".into(),
+                    tokens: 5,
+                }];
+                let until = sender.now + Duration::from_secs(2);
+                sender.on(Event::Fed(decide::grant::Feed { until, lots }));
+            }
+        }
+    };
+    let from = PartAddr {
+        host: "h3".into(),
+        part: 1,
+    };
+    let msg = Msg::Relay(RelayMsg::Run(run));
+    world.on(Event::Peer { from, msg });
+    let sent = world.sent();
+    let refused = |msg: &RelayMsg| {
+        use decide::relay::Bounce;
+        matches!(
+            msg,
+            RelayMsg::Bounce {
+                why: Bounce::Refused(Refusal::NoRoute),
+                ..
+            }
+        )
+    };
+    assert!(sent.iter().any(refused), "{sent:?}");
+}
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{Position, ServiceId, Verdict, WorkspaceId};
+use crate::{
+    Config, ConfigVersion, KeyId, Position, Refusal, RouteId, ServiceId, Verdict, WorkspaceId,
+};
 
 /// What a request does, as far as routing cares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -16,6 +18,38 @@
     Write,
 }
 
+/// What entitles a request on a route, as its entry host saw it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Access {
+    /// The configuration that was in force there.
+    pub version: ConfigVersion,
+    /// The route.
+    pub route: RouteId,
+    /// The key, or none on an open route.
+    pub key: Option<KeyId>,
+}
+
+impl Access {
+    /// Returns why a newer configuration does not allow a request any more, if it does not.
+    pub fn refused_by(&self, config: &Config, req: &Request) -> Option<Refusal> {
+        if config.version <= self.version {
+            return None;
+        }
+        let Some(route) = config.routes.get(&self.route) else {
+            return Some(Refusal::NoRoute);
+        };
+        if route.service != req.service {
+            return Some(Refusal::NotAllowed);
+        }
+        let held = |key: &KeyId| {
+            let holder = config.workspaces.get(&req.workspace);
+            holder.is_some_and(|holder| holder.keys.contains_key(key))
+        };
+        let entitled = self.key.as_ref().map_or(route.open, held);
+        (!entitled).then_some(Refusal::BadKey)
+    }
+}
+
 /// A request for an upstream, with an opaque payload.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
@@ -27,6 +61,9 @@
     pub service: ServiceId,
     /// What it does.
     pub kind: Kind,
+    /// What entitles it, on a route.
+    #[serde(default)]
+    pub access: Option<Access>,
     /// Whether it opens or continues an explicit transaction.
     pub transaction: bool,
     /// Whether it belongs to a transaction that an earlier request has opened.
--- a/crates/pg/src/front.rs
+++ b/crates/pg/src/front.rs
@@ -264,6 +264,7 @@
     fn request(&self, kind: Kind, transaction: bool, payload: Bytes) -> Request {
         let in_transaction = transaction || self.tx != TxStatus::Idle;
         Request {
+            access: None,
             label: "-".into(),
             workspace: "".into(),
             service: "".into(),
