--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod admit;
 pub mod ask;
 pub mod authority;
+mod authority_attempt;
+mod authority_judge;
 mod authority_note;
 mod authority_service;
 pub mod breaker;
