--- a/crates/host/src/logs.rs
+++ b/crates/host/src/logs.rs
@@ -50,7 +50,7 @@
     let file = file.transpose()?;
     let stdout = cfg.stdout;
     let (tx, rx) = mpsc::sync_channel(WAITING_MAX);
-    let output = Bounded::new(tx.clone());
+    let output = tx.clone();
     fern::Dispatch::new()
         .format(|out, message, record| {
             let now = humantime::format_rfc3339_millis(std::time::SystemTime::now());
@@ -59,7 +59,7 @@
         .level(cfg.level)
         .level_for("jsonrpsee", log::LevelFilter::Warn)
         .level_for("hyper", log::LevelFilter::Warn)
-        .chain(fern::Output::call(move |record| output.write(record)))
+        .chain(fern::Output::call(move |record| hand_over(&output, record)))
         .apply()
         .wrap_err("the log is running already")?;
     let handle = std::thread::Builder::new()
@@ -74,31 +74,14 @@
     Ok(LogThread { tx, handle })
 }
 
-/// The way to the log's thread, which never blocks.
-struct Bounded {
-    tx: mpsc::SyncSender<String>,
-    dropped: AtomicU64,
-}
-
-impl Bounded {
-    fn new(tx: mpsc::SyncSender<String>) -> Self {
-        let dropped = AtomicU64::new(0);
-        Self { tx, dropped }
-    }
+/// How many lines were dropped since that was last said.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
 
-    fn write(&self, record: &log::Record<'_>) {
-        let line = format!("{}\n", record.args());
-        if self.tx.try_send(line).is_err() {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
-            return;
-        }
-        if self.dropped.load(Ordering::Relaxed) > 0 {
-            let count = self.dropped.swap(0, Ordering::Relaxed);
-            let line = format!("WARN  event=706 lines-dropped count={count}\n");
-            if self.tx.try_send(line).is_err() {
-                self.dropped.fetch_add(count, Ordering::Relaxed);
-            }
-        }
+/// Hands a line to the log's thread, or drops it where too many wait; never blocks.
+fn hand_over(tx: &mpsc::SyncSender<String>, record: &log::Record<'_>) {
+    let line = format!("{}\n", record.args());
+    if tx.try_send(line).is_err() {
+        DROPPED.fetch_add(1, Ordering::Relaxed);
     }
 }
 
@@ -162,6 +145,10 @@
     if level > log::max_level() {
         return;
     }
+    if DROPPED.load(Ordering::Relaxed) > 0 {
+        let count = DROPPED.swap(0, Ordering::Relaxed);
+        log::warn!("event=706 lines-dropped count={count}");
+    }
     let number = note.number();
     let (admitted, left_out) = admit(number);
     if left_out > 0 {
