--- a/crates/decide/benches/spread.rs
+++ b/crates/decide/benches/spread.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
+use decide::spread::msg::{Beat, ConfigState, Place};
 use decide::spread::{Fact, Spread, SpreadMsg};
-use decide::spread_msg::{Beat, ConfigState, Place};
 use decide::{Cx, Effect, Settings};
 use model::{Announcement, CONTROL, HostInfo, PartAddr};
 use rand::SeedableRng;
--- a/crates/decide/src/authority.rs
+++ b/crates/decide/src/authority.rs
@@ -3,7 +3,12 @@
 //! Where instances can't be asked for promises, and the platform makes the primary, only the
 //! leader orders it. Each order has a number from the committed log, so that a late order of
 //! an earlier leader is told from a later one. Before the choice, replicas stop receiving, so
-//! that no write can be acknowledged that the chosen one lacks ([`crate::authority_service`]).
+//! that no write can be acknowledged that the chosen one lacks ([`crate::authority::service`]).
+
+pub(crate) mod attempt;
+pub(crate) mod judge;
+pub(crate) mod note;
+pub(crate) mod service;
 
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -12,8 +17,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ask::{Ask, AskError, AskId, Told};
-pub use crate::authority_note::AuthorityNote;
-use crate::authority_service::Service;
+pub use crate::authority::note::AuthorityNote;
+use crate::authority::service::Service;
 use crate::raft::{LogIndex, OrderTicket};
 use crate::{Cx, Effect, View};
 
--- a/crates/decide/src/authority_attempt.rs
+++ b/crates/decide/src/authority/attempt.rs
@@ -10,8 +10,8 @@
 use model::{Position, UpstreamId};
 
 use crate::ask::{Ask, AskError, Told};
+use crate::authority::service::{Lost, Member, PAUSE, QUICK, Service, Stage};
 use crate::authority::{AuthorityNote, Order, OrderError, Outbox, Purpose, Question};
-use crate::authority_service::{Lost, Member, PAUSE, QUICK, Service, Stage};
 use crate::raft::{LogIndex, OrderTicket};
 use crate::{Cx, Effect};
 
--- a/crates/decide/src/authority_judge.rs
+++ b/crates/decide/src/authority/judge.rs
@@ -7,7 +7,7 @@
 
 use crate::Cx;
 use crate::authority::AuthorityNote;
-use crate::authority_service::{LOST_AFTER, Member, Service, Stage};
+use crate::authority::service::{LOST_AFTER, Member, Service, Stage};
 
 /// How long an attempt may take to fence what it must.
 const FENCE_TIME: Duration = Duration::from_millis(2500);
--- a/crates/decide/src/commit.rs
+++ b/crates/decide/src/commit.rs
@@ -1,19 +1,21 @@
 //! Confirms writes: a write counts once a majority of its group's instances has it in its term.
 //!
 //! A majority that reports a write in its term and a majority that promises a later term
-//! meet in an instance, so each later primary has the write ([`crate::group_elect`]).
+//! meet in an instance, so each later primary has the write ([`crate::group::elect`]).
 //! One question is under way to each replica at most. It waits for the lowest position that
 //! is still wanted of it: its answer comes as soon as the oldest write is there and tells how
 //! far the log really is, which settles the younger writes too. Waiting for the highest
 //! position would hold the older writes back for as long as replication lags.
 
+pub mod group;
+
 use std::time::Instant;
 
 use model::config::CommitRule;
 use model::{HashMap, Position, ServiceId, UpstreamId};
 
 use crate::ask::{AskError, AskId, Told};
-use crate::commit_group::{Poll, Ticket, Waiting};
+use crate::commit::group::{Poll, Ticket, Waiting};
 use crate::event::Probed;
 use crate::{Cx, Effect, View};
 
--- a/crates/decide/src/commit_group.rs
+++ b/crates/decide/src/commit/group.rs
@@ -10,7 +10,7 @@
 use crate::ask::{Ask, AskError, AskId, Told};
 use crate::commit::Resolved;
 use crate::event::Probed;
-use crate::group_settings::GroupSettings;
+use crate::group::settings::GroupSettings;
 use crate::{Cx, View};
 
 /// A write that waits.
--- a/crates/decide/src/conf.rs
+++ b/crates/decide/src/conf.rs
@@ -1,5 +1,7 @@
 //! The state machine behind consensus: configuration, patches and their outcomes.
 
+pub mod front;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Instant;
--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -8,7 +8,7 @@
 use crate::authority::{Authority, AuthorityKind};
 use crate::call::{Call, Reply};
 use crate::conf::Committed;
-use crate::conf_front::Front;
+use crate::conf::front::Front;
 use crate::group::{GroupMsg, Groups};
 use crate::raft::{EntryData, Raft, RaftMsg, Recovered};
 use crate::spread::{Seed, Spread};
--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -1,5 +1,8 @@
 //! The entry side: requests of callers on their way to owners, until each has its answer.
 
+pub(crate) mod flight;
+pub(crate) mod pick;
+
 use std::time::Instant;
 
 use model::{
@@ -7,8 +10,8 @@
 };
 
 use crate::admit::{Admission, Admit};
-use crate::entry_flight::{Flight, Flights, backoff, deliver, finish, release, unpin};
-use crate::entry_pick::Router;
+use crate::entry::flight::{Flight, Flights, backoff, deliver, finish, release, unpin};
+use crate::entry::pick::Router;
 use crate::grant::Feed;
 use crate::relay::{Bounce, RelayMsg, Run};
 use crate::route::ReadPolicy;
--- a/crates/decide/src/entry_pick.rs
+++ b/crates/decide/src/entry/pick.rs
@@ -2,7 +2,7 @@
 
 use model::{HashMap, Kind, ServiceId, Term, UpstreamId};
 
-use crate::entry_flight::{Flight, Place};
+use crate::entry::flight::{Flight, Place};
 use crate::route::{ReadPolicy, Skips};
 use crate::view::ServiceView;
 use crate::{Cx, View};
--- a/crates/decide/src/grant.rs
+++ b/crates/decide/src/grant.rs
@@ -5,6 +5,13 @@
 //! what hosts may still use, and the base shares of hosts that are cut off add up to the burst
 //! at most; what flows in adds up to the rate at most.
 
+pub(crate) mod alloc;
+pub(crate) mod base;
+pub(crate) mod book;
+pub(crate) mod hold;
+pub(crate) mod leader;
+pub(crate) mod stock;
+
 use std::fmt;
 use std::time::{Duration, Instant};
 
@@ -14,9 +21,9 @@
 
 use crate::note::Numbered;
 
-pub use crate::grant_alloc::Allocator;
-pub use crate::grant_base::{BaseShare, Seat, base_share};
-pub use crate::grant_hold::Holder;
+pub use crate::grant::alloc::Allocator;
+pub use crate::grant::base::{BaseShare, Seat, base_share};
+pub use crate::grant::hold::Holder;
 
 /// Settings of this feature.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/decide/src/grant_alloc.rs
+++ b/crates/decide/src/grant/alloc.rs
@@ -7,9 +7,9 @@
 use model::{Config, HashMap, HashSet, HostId, Incarnation, PartAddr, WorkspaceId};
 
 use crate::Cx;
+use crate::grant::base::{Seat, base_burst, base_share};
+use crate::grant::book::{Book, Floating};
 use crate::grant::{Ask, Demand, Grant, GrantMsg, GrantNote, GrantSettings, Lot};
-use crate::grant_base::{Seat, base_burst, base_share};
-use crate::grant_book::{Book, Floating};
 
 /// How many grants to a host are remembered for its echo.
 const REMEMBERED_GRANTS: usize = 64;
--- a/crates/decide/src/grant_hold.rs
+++ b/crates/decide/src/grant/hold.rs
@@ -7,9 +7,9 @@
 use model::clock::{CLOCK_RATE_MARGIN_PER_MILLE, holder_lease};
 use model::{Config, HashMap, HostId, PartId, WorkspaceId};
 
+use crate::grant::base::{BaseShare, Seat, base_share};
+use crate::grant::stock::Stock;
 use crate::grant::{Ask, Demand, Feed, Grant, GrantMsg, GrantNote, Lot, PartNeed};
-use crate::grant_base::{BaseShare, Seat, base_share};
-use crate::grant_stock::Stock;
 use crate::{Cx, Effect, Event};
 
 /// How many demands are remembered for the grants that answer them.
--- a/crates/decide/src/grant_leader.rs
+++ b/crates/decide/src/grant/leader.rs
@@ -6,7 +6,7 @@
 
 use crate::Cx;
 use crate::grant::GrantMsg;
-use crate::grant_hold::Holder;
+use crate::grant::hold::Holder;
 
 /// How long the leader may leave a demand unanswered before voters are asked who leads.
 const PATIENCE: Duration = Duration::from_millis(250);
--- a/crates/decide/src/grant_stock.rs
+++ b/crates/decide/src/grant/stock.rs
@@ -4,8 +4,8 @@
 
 use model::{HashMap, PartId, WorkspaceId};
 
+use crate::grant::base::BaseShare;
 use crate::grant::{Ask, NanoTokens, PartUse, TOKEN, inflow, whole};
-use crate::grant_base::BaseShare;
 
 /// The tokens of one workspace.
 #[derive(Debug, Default)]
--- a/crates/decide/src/group.rs
+++ b/crates/decide/src/group.rs
@@ -1,9 +1,20 @@
 //! Detects lost primaries and replaces them, with the upstreams as acceptors of terms.
 //!
-//! An owner of any instance of a group probes all its instances ([`crate::group_probe`]).
-//! When the primary seems lost ([`crate::group_suspect`]) it asks the other owners
-//! ([`crate::group_agree`]), collects promises and promotes ([`crate::group_elect`]),
-//! and every owner tells the other instances to follow ([`crate::group_follow`]).
+//! An owner of any instance of a group probes all its instances ([`crate::group::probe`]).
+//! When the primary seems lost ([`crate::group::suspect`]) it asks the other owners
+//! ([`crate::group::agree`]), collects promises and promotes ([`crate::group::elect`]),
+//! and every owner tells the other instances to follow ([`crate::group::follow`]).
+
+pub mod agree;
+pub mod ask;
+pub mod elect;
+pub mod follow;
+pub mod member;
+pub mod note;
+pub mod probe;
+pub mod settings;
+pub mod state;
+pub mod suspect;
 
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -11,12 +22,12 @@
 use model::{HostId, PartAddr, ServiceId, Term, UpstreamId};
 use serde::{Deserialize, Serialize};
 
-pub use crate::group_note::GroupNote;
-pub use crate::group_settings::GroupSettings;
+pub use crate::group::note::GroupNote;
+pub use crate::group::settings::GroupSettings;
 
 use crate::ask::{AskError, AskId, Told};
-use crate::group_ask::Questions;
-use crate::group_state::Group;
+use crate::group::ask::Questions;
+use crate::group::state::Group;
 use crate::{Cx, View};
 
 /// Messages of this area, between control parts of owners.
--- a/crates/decide/src/group_agree.rs
+++ b/crates/decide/src/group/agree.rs
@@ -8,11 +8,11 @@
 
 use crate::Cx;
 use crate::ask::Ask;
+use crate::group::ask::{Manner, Purpose, Questions};
+use crate::group::elect::Stage;
+use crate::group::note::GroupNote;
+use crate::group::state::Group;
 use crate::group::{GroupMsg, send_sighting};
-use crate::group_ask::{Manner, Purpose, Questions};
-use crate::group_elect::Stage;
-use crate::group_note::GroupNote;
-use crate::group_state::Group;
 
 /// How often in a row an owner leaves the field to another candidate.
 const MAX_STAND_BACKS: u32 = 2;
--- a/crates/decide/src/group_elect.rs
+++ b/crates/decide/src/group/elect.rs
@@ -12,10 +12,10 @@
 
 use crate::Cx;
 use crate::ask::{Ask, AskError, Told};
-use crate::group_ask::{Manner, Purpose, Question, Questions};
-use crate::group_note::GroupNote;
-use crate::group_state::Group;
-use crate::group_suspect::Reason;
+use crate::group::ask::{Manner, Purpose, Question, Questions};
+use crate::group::note::GroupNote;
+use crate::group::state::Group;
+use crate::group::suspect::Reason;
 
 /// The most doublings of a pause.
 const MAX_DOUBLINGS: u32 = 4;
--- a/crates/decide/src/group_follow.rs
+++ b/crates/decide/src/group/follow.rs
@@ -4,11 +4,11 @@
 
 use crate::Cx;
 use crate::ask::{Ask, AskId};
-use crate::group_ask::{Manner, Purpose, Question, Questions};
-use crate::group_member::Member;
-use crate::group_note::GroupNote;
-use crate::group_settings::GroupSettings;
-use crate::group_state::Group;
+use crate::group::ask::{Manner, Purpose, Question, Questions};
+use crate::group::member::Member;
+use crate::group::note::GroupNote;
+use crate::group::settings::GroupSettings;
+use crate::group::state::Group;
 
 /// Why an instance must be told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/decide/src/group_note.rs
+++ b/crates/decide/src/group/note.rs
@@ -5,7 +5,7 @@
 use model::{HostId, Position, ServiceId, Term, UpstreamId};
 
 use crate::ask::AskError;
-use crate::group_suspect::Reason;
+use crate::group::suspect::Reason;
 use crate::note::Numbered;
 
 /// Log lines of this area.
--- a/crates/decide/src/group_probe.rs
+++ b/crates/decide/src/group/probe.rs
@@ -8,11 +8,11 @@
 
 use crate::ask::{Ask, AskError, AskId, Told};
 use crate::event::{Event, Probed};
-use crate::group_ask::{Manner, Purpose, Question, Questions};
-use crate::group_member::{Health, Member};
-use crate::group_note::GroupNote;
-use crate::group_settings::GroupSettings;
-use crate::group_state::Group;
+use crate::group::ask::{Manner, Purpose, Question, Questions};
+use crate::group::member::{Health, Member};
+use crate::group::note::GroupNote;
+use crate::group::settings::GroupSettings;
+use crate::group::state::Group;
 use crate::place::traffic_part;
 use crate::{Cx, Effect};
 
--- a/crates/decide/src/group_state.rs
+++ b/crates/decide/src/group/state.rs
@@ -7,11 +7,11 @@
 
 use crate::ask::{AskError, AskId, Told};
 use crate::event::Event;
-use crate::group_ask::{Purpose, Question, Questions};
-use crate::group_elect::Stage;
-use crate::group_member::Member;
-use crate::group_note::GroupNote;
-use crate::group_suspect::Reason;
+use crate::group::ask::{Purpose, Question, Questions};
+use crate::group::elect::Stage;
+use crate::group::member::Member;
+use crate::group::note::GroupNote;
+use crate::group::suspect::Reason;
 use crate::spread::Fact;
 use crate::view::ServiceView;
 use crate::{Cx, View};
--- a/crates/decide/src/group_suspect.rs
+++ b/crates/decide/src/group/suspect.rs
@@ -5,9 +5,9 @@
 
 use model::{Role, Term, UpstreamId};
 
-use crate::group_member::{Health, Member};
-use crate::group_settings::GroupSettings;
-use crate::group_state::Group;
+use crate::group::member::{Health, Member};
+use crate::group::settings::GroupSettings;
+use crate::group::state::Group;
 
 /// Why a group needs another primary.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -1,5 +1,18 @@
 //! The owner side: requests that wait for, run on and come back from an upstream.
 
+pub(crate) mod announced;
+pub(crate) mod confirm;
+pub(crate) mod conn;
+pub(crate) mod job;
+pub(crate) mod note;
+pub(crate) mod open;
+pub(crate) mod pin;
+pub mod position;
+pub(crate) mod queue;
+pub(crate) mod settings;
+pub(crate) mod upstream;
+pub mod wait;
+
 use std::time::Instant;
 
 use model::{ConnId, HashMap, HostId, PartAddr, UpstreamId};
@@ -7,17 +20,17 @@
 use crate::ask::{AskError, AskId, Told};
 use crate::conn::ConnEvent;
 use crate::event::Probed;
-use crate::owner_confirm::Confirms;
-use crate::owner_job::Job;
-use crate::owner_position::{PositionMsg, Positions};
-use crate::owner_upstream::Upstream;
-use crate::owner_wait::{WaitIfSoon, WaitPolicy};
+use crate::owner::confirm::Confirms;
+use crate::owner::job::Job;
+use crate::owner::position::{PositionMsg, Positions};
+use crate::owner::upstream::Upstream;
+use crate::owner::wait::{WaitIfSoon, WaitPolicy};
 use crate::queue::{Discipline, Drr, Queue};
 use crate::relay::Run;
 use crate::{Cx, View};
 
-pub use crate::owner_note::{OwnerNote, Subject};
-pub use crate::owner_settings::{Capacity, OwnerSettings};
+pub use crate::owner::note::{OwnerNote, Subject};
+pub use crate::owner::settings::{Capacity, OwnerSettings};
 
 /// Bits of a connection's number that count the connections of one start of the host.
 const CONN_BITS: u32 = 24;
--- a/crates/decide/src/owner_announced.rs
+++ b/crates/decide/src/owner/announced.rs
@@ -4,9 +4,9 @@
 
 use model::{Claim, InstanceStatus, Kind, Position, Request, Role};
 
-use crate::owner_settings::Capacity;
-use crate::owner_upstream::Upstream;
-use crate::owner_wait::{Progress, WaitPolicy};
+use crate::owner::settings::Capacity;
+use crate::owner::upstream::Upstream;
+use crate::owner::wait::{Progress, WaitPolicy};
 use crate::queue::Discipline;
 use crate::relay::Bounce;
 use crate::view::UpstreamView;
--- a/crates/decide/src/owner_confirm.rs
+++ b/crates/decide/src/owner/confirm.rs
@@ -5,7 +5,7 @@
 use model::{Answer, HashMap, HostId, Position, ServiceId};
 
 use crate::event::AwaitCommit;
-use crate::owner_job::Job;
+use crate::owner::job::Job;
 use crate::{Cx, Event};
 
 /// The answers that are held back until their writes are confirmed.
--- a/crates/decide/src/owner_conn.rs
+++ b/crates/decide/src/owner/conn.rs
@@ -6,11 +6,11 @@
 use crate::conn::{Outcome, Unrun};
 use crate::group::GroupMsg;
 use crate::owner::Shared;
-use crate::owner_job::{Job, Pin, Running};
-use crate::owner_note::OwnerNote;
-use crate::owner_settings::Capacity;
-use crate::owner_upstream::{Upstream, age_bound, reaches};
-use crate::owner_wait::WaitPolicy;
+use crate::owner::job::{Job, Pin, Running};
+use crate::owner::note::OwnerNote;
+use crate::owner::settings::Capacity;
+use crate::owner::upstream::{Upstream, age_bound, reaches};
+use crate::owner::wait::WaitPolicy;
 use crate::queue::{Discipline, Queue};
 use crate::relay::Bounce;
 
--- a/crates/decide/src/owner_job.rs
+++ b/crates/decide/src/owner/job.rs
@@ -5,7 +5,7 @@
 use model::{Answer, ConnId, Kind, PartAddr, Refusal, Role, Term, TxStatus, Verdict};
 
 use crate::Cx;
-use crate::owner_note::{OwnerNote, Subject};
+use crate::owner::note::{OwnerNote, Subject};
 use crate::relay::{Bounce, RelayMsg, Run};
 
 /// A request that waits for a slot or runs.
--- a/crates/decide/src/owner_open.rs
+++ b/crates/decide/src/owner/open.rs
@@ -6,10 +6,10 @@
 use model::ConnId;
 
 use crate::owner::Shared;
-use crate::owner_note::OwnerNote;
-use crate::owner_settings::{Capacity, OwnerSettings};
-use crate::owner_upstream::Upstream;
-use crate::owner_wait::WaitPolicy;
+use crate::owner::note::OwnerNote;
+use crate::owner::settings::{Capacity, OwnerSettings};
+use crate::owner::upstream::Upstream;
+use crate::owner::wait::WaitPolicy;
 use crate::pool::Lane;
 use crate::queue::{Discipline, Queue};
 use crate::{Cx, Effect};
--- a/crates/decide/src/owner_pin.rs
+++ b/crates/decide/src/owner/pin.rs
@@ -6,10 +6,10 @@
 
 use crate::Cx;
 use crate::owner::Shared;
-use crate::owner_job::Job;
-use crate::owner_note::OwnerNote;
-use crate::owner_upstream::Upstream;
-use crate::owner_wait::WaitPolicy;
+use crate::owner::job::Job;
+use crate::owner::note::OwnerNote;
+use crate::owner::upstream::Upstream;
+use crate::owner::wait::WaitPolicy;
 use crate::queue::{Discipline, Queue};
 
 impl<Q: Discipline, W: WaitPolicy> Upstream<Q, W> {
--- a/crates/decide/src/owner_queue.rs
+++ b/crates/decide/src/owner/queue.rs
@@ -6,11 +6,11 @@
 
 use crate::group::GroupMsg;
 use crate::owner::Shared;
-use crate::owner_job::{Job, Running};
-use crate::owner_note::OwnerNote;
-use crate::owner_settings::Capacity;
-use crate::owner_upstream::Upstream;
-use crate::owner_wait::WaitPolicy;
+use crate::owner::job::{Job, Running};
+use crate::owner::note::OwnerNote;
+use crate::owner::settings::Capacity;
+use crate::owner::upstream::Upstream;
+use crate::owner::wait::WaitPolicy;
 use crate::queue::{Discipline, Popped, Queue};
 use crate::relay::Bounce;
 use crate::{Cx, Effect};
--- a/crates/decide/src/owner_upstream.rs
+++ b/crates/decide/src/owner/upstream.rs
@@ -10,10 +10,10 @@
 
 use crate::breaker::Breaker;
 use crate::event::Probed;
-use crate::owner_job::{Job, Pin, Running};
-use crate::owner_note::OwnerNote;
-use crate::owner_settings::Capacity;
-use crate::owner_wait::{Progress, WaitPolicy};
+use crate::owner::job::{Job, Pin, Running};
+use crate::owner::note::OwnerNote;
+use crate::owner::settings::Capacity;
+use crate::owner::wait::{Progress, WaitPolicy};
 use crate::pool::Pool;
 use crate::queue::{Discipline, Queue};
 use crate::relay::Bounce;
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -1,12 +1,14 @@
 //! Queues of requests that wait for a slot, and the order in which they leave.
 
+pub(crate) mod drr;
+
 use std::collections::VecDeque;
 use std::fmt::Debug;
 use std::time::Duration;
 
 use model::WorkspaceId;
 
-pub use crate::queue_drr::{Drr, DrrQueue};
+pub use crate::queue::drr::{Drr, DrrQueue};
 
 /// What a request is taken to cost before any has been measured.
 pub const UNMEASURED_COST: Duration = Duration::from_millis(1);
--- a/crates/decide/src/raft.rs
+++ b/crates/decide/src/raft.rs
@@ -1,5 +1,19 @@
 //! Consensus over the control state: what one member knows, and how it takes events.
 
+pub(crate) mod append;
+pub(crate) mod call;
+pub(crate) mod change;
+pub(crate) mod entry;
+pub(crate) mod found;
+pub(crate) mod leader;
+pub(crate) mod log;
+pub(crate) mod member;
+pub(crate) mod msg;
+pub(crate) mod note;
+pub(crate) mod settings;
+pub(crate) mod vote;
+pub(crate) mod write;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Instant;
@@ -7,20 +21,20 @@
 use model::{Config, HostId};
 
 use crate::conf::{Committed, Conf};
-pub use crate::raft_entry::{
+pub use crate::raft::entry::{
     CONFIG_GROUP, Entry, EntryData, GroupId, HardState, LogIndex, OrderTicket, OutOfOrder, Persist,
     Place, RaftTerm, Recovered, Snapshot, StoreId, Stored, WriteId,
 };
-use crate::raft_leader::Leader;
-use crate::raft_log::Log;
-pub use crate::raft_member::{Member, Membership};
-pub use crate::raft_msg::{
+use crate::raft::leader::Leader;
+use crate::raft::log::Log;
+pub use crate::raft::member::{Member, Membership};
+pub use crate::raft::msg::{
     Append, Appended, Envelope, ForwardId, Forwarded, MemberMsg, RaftMsg, Round, Stamp,
 };
-pub use crate::raft_note::RaftNote;
-pub use crate::raft_settings::{BadRaftSetting, RaftSettings};
-use crate::raft_vote::Votes;
-use crate::raft_write::Writer;
+pub use crate::raft::note::RaftNote;
+pub use crate::raft::settings::{BadRaftSetting, RaftSettings};
+use crate::raft::vote::Votes;
+use crate::raft::write::Writer;
 use crate::view::RaftStatus;
 use crate::{Cx, Effect, Event};
 
--- a/crates/decide/src/raft_append.rs
+++ b/crates/decide/src/raft/append.rs
@@ -4,11 +4,11 @@
 
 use crate::conf::Committed;
 use crate::raft::Raft;
-use crate::raft_entry::{EntryData, LogIndex, Place, RaftTerm, Snapshot};
-use crate::raft_log::Log;
-use crate::raft_member::{Member, Membership};
-use crate::raft_msg::{Append, Appended, MemberMsg, Round, Stamp};
-use crate::raft_note::RaftNote;
+use crate::raft::entry::{EntryData, LogIndex, Place, RaftTerm, Snapshot};
+use crate::raft::log::Log;
+use crate::raft::member::{Member, Membership};
+use crate::raft::msg::{Append, Appended, MemberMsg, Round, Stamp};
+use crate::raft::note::RaftNote;
 use crate::{Cx, Event};
 
 impl Raft {
--- a/crates/decide/src/raft_call.rs
+++ b/crates/decide/src/raft/call.rs
@@ -8,10 +8,10 @@
 
 use crate::Cx;
 use crate::call::{Call, PatchOutcome, Reply};
+use crate::raft::entry::{EntryData, LogIndex};
+use crate::raft::leader::Leader;
+use crate::raft::msg::{ForwardId, Forwarded, RaftMsg, Round};
 use crate::raft::{Raft, Role};
-use crate::raft_entry::{EntryData, LogIndex};
-use crate::raft_leader::Leader;
-use crate::raft_msg::{ForwardId, Forwarded, RaftMsg, Round};
 
 /// A call that waits at the leader.
 #[derive(Debug)]
--- a/crates/decide/src/raft_change.rs
+++ b/crates/decide/src/raft/change.rs
@@ -5,10 +5,10 @@
 use model::HostId;
 
 use crate::Cx;
+use crate::raft::entry::EntryData;
+use crate::raft::member::{Member, Membership};
+use crate::raft::note::RaftNote;
 use crate::raft::{Raft, Role};
-use crate::raft_entry::EntryData;
-use crate::raft_member::{Member, Membership};
-use crate::raft_note::RaftNote;
 
 /// How many heartbeats a hello counts for.
 const HELLO_LASTS_HEARTBEATS: u32 = 20;
--- a/crates/decide/src/raft_entry.rs
+++ b/crates/decide/src/raft/entry.rs
@@ -8,7 +8,7 @@
 
 use crate::call::Patch;
 use crate::conf::Conf;
-use crate::raft_member::{Member, Membership};
+use crate::raft::member::{Member, Membership};
 
 /// Names a consensus group, so that a host can sit in more than one.
 pub type GroupId = u32;
--- a/crates/decide/src/raft_found.rs
+++ b/crates/decide/src/raft/found.rs
@@ -8,11 +8,11 @@
 use crate::Cx;
 use crate::conf::Conf;
 use crate::raft::Raft;
-use crate::raft_entry::{Place, Snapshot, StoreId};
-use crate::raft_log::Log;
-use crate::raft_member::{Member, Membership};
-use crate::raft_msg::{MemberMsg, RaftMsg};
-use crate::raft_note::RaftNote;
+use crate::raft::entry::{Place, Snapshot, StoreId};
+use crate::raft::log::Log;
+use crate::raft::member::{Member, Membership};
+use crate::raft::msg::{MemberMsg, RaftMsg};
+use crate::raft::note::RaftNote;
 
 /// How many heartbeats pass between two hellos of a store that belongs to no cluster.
 const HELLO_HEARTBEATS: u32 = 4;
--- a/crates/decide/src/raft_leader.rs
+++ b/crates/decide/src/raft/leader.rs
@@ -4,11 +4,11 @@
 use std::time::Instant;
 
 use crate::conf::Committed;
+use crate::raft::call::Waiting;
+use crate::raft::entry::{Entry, EntryData, LogIndex, Place};
+use crate::raft::member::Member;
+use crate::raft::msg::{Append, Appended, MemberMsg, Round, Stamp};
 use crate::raft::{Raft, Role};
-use crate::raft_call::Waiting;
-use crate::raft_entry::{Entry, EntryData, LogIndex, Place};
-use crate::raft_member::Member;
-use crate::raft_msg::{Append, Appended, MemberMsg, Round, Stamp};
 use crate::{Cx, Event};
 
 /// How many heartbeats pass before a snapshot is sent again.
--- a/crates/decide/src/raft_log.rs
+++ b/crates/decide/src/raft/log.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use crate::raft_entry::{Entry, LogIndex, Place, RaftTerm};
+use crate::raft::entry::{Entry, LogIndex, Place, RaftTerm};
 
 /// The entries after a base; the base and all before it are gone.
 #[derive(Debug, Default)]
--- a/crates/decide/src/raft_member.rs
+++ b/crates/decide/src/raft/member.rs
@@ -5,7 +5,7 @@
 use model::HostId;
 use serde::{Deserialize, Serialize};
 
-use crate::raft_entry::StoreId;
+use crate::raft::entry::StoreId;
 
 /// A member of a consensus group: a host with one certain store.
 ///
--- a/crates/decide/src/raft_msg.rs
+++ b/crates/decide/src/raft/msg.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::call::{Call, Reply};
-use crate::raft_entry::{Entry, GroupId, LogIndex, Place, RaftTerm, Snapshot, StoreId};
+use crate::raft::entry::{Entry, GroupId, LogIndex, Place, RaftTerm, Snapshot, StoreId};
 
 /// Numbers the rounds in which a leader asks whether it still leads.
 pub type Round = u64;
--- a/crates/decide/src/raft_note.rs
+++ b/crates/decide/src/raft/note.rs
@@ -6,7 +6,7 @@
 use model::{CallId, ConfigVersion, HostId};
 
 use crate::note::Numbered;
-use crate::raft_entry::{LogIndex, RaftTerm, StoreId};
+use crate::raft::entry::{LogIndex, RaftTerm, StoreId};
 
 /// Log lines of this area.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/decide/src/raft_vote.rs
+++ b/crates/decide/src/raft/vote.rs
@@ -5,12 +5,12 @@
 use rand::Rng;
 
 use crate::Cx;
+use crate::raft::entry::{EntryData, HardState, Place, RaftTerm, WriteId};
+use crate::raft::leader::Leader;
+use crate::raft::member::Member;
+use crate::raft::msg::MemberMsg;
+use crate::raft::note::RaftNote;
 use crate::raft::{Raft, Role};
-use crate::raft_entry::{EntryData, HardState, Place, RaftTerm, WriteId};
-use crate::raft_leader::Leader;
-use crate::raft_member::Member;
-use crate::raft_msg::MemberMsg;
-use crate::raft_note::RaftNote;
 
 /// The votes that a candidate has.
 #[derive(Debug)]
--- a/crates/decide/src/raft_write.rs
+++ b/crates/decide/src/raft/write.rs
@@ -5,8 +5,8 @@
 
 use model::HostId;
 
-use crate::raft_entry::{Entry, GroupId, HardState, LogIndex, Persist, Snapshot, WriteId};
-use crate::raft_msg::Envelope;
+use crate::raft::entry::{Entry, GroupId, HardState, LogIndex, Persist, Snapshot, WriteId};
+use crate::raft::msg::Envelope;
 
 /// Gathers what is to be written while a write is on its way.
 #[derive(Debug)]
--- a/crates/decide/src/spread.rs
+++ b/crates/decide/src/spread.rs
@@ -5,6 +5,24 @@
 //! does the configuration (`spread_push`, `spread_config`). From the facts each host
 //! keeps its own tables of hosts, upstreams and services (`spread_tables`).
 
+pub mod announce;
+pub mod beat;
+pub mod config;
+pub mod delta;
+pub mod facts;
+pub mod flow;
+pub mod lease;
+pub mod link;
+pub mod merge;
+pub mod missed;
+pub mod msg;
+pub mod note;
+pub mod push;
+pub mod settings;
+pub mod tables;
+pub mod tree;
+pub mod versions;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,21 +30,21 @@
 
 use model::{Config, ConfigVersion, DataCentreId, HashMap, HostId, HostInfo, PartAddr, UpstreamId};
 
-use crate::spread_config::ConfigInForce;
-use crate::spread_facts::{FactKey, Facts};
-use crate::spread_lease::Leases;
-use crate::spread_link::Link;
-use crate::spread_missed::Missed;
-use crate::spread_tables::Tables;
-use crate::spread_tree::Tree;
-use crate::spread_versions::Versions;
+use crate::spread::config::ConfigInForce;
+use crate::spread::facts::{FactKey, Facts};
+use crate::spread::lease::Leases;
+use crate::spread::link::Link;
+use crate::spread::missed::Missed;
+use crate::spread::tables::Tables;
+use crate::spread::tree::Tree;
+use crate::spread::versions::Versions;
 use crate::view::{FleetStatus, HostStatus, ServiceStatus, UpstreamStatus};
 use crate::{Cx, Effect, Event, View};
 
-pub use crate::spread_facts::Fact;
-pub use crate::spread_msg::SpreadMsg;
-pub use crate::spread_note::SpreadNote;
-pub use crate::spread_settings::SpreadSettings;
+pub use crate::spread::facts::Fact;
+pub use crate::spread::msg::SpreadMsg;
+pub use crate::spread::note::SpreadNote;
+pub use crate::spread::settings::SpreadSettings;
 
 /// A control host that the settings name.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/decide/src/spread_announce.rs
+++ b/crates/decide/src/spread/announce.rs
@@ -4,9 +4,9 @@
 
 use crate::Cx;
 use crate::spread::Spread;
-use crate::spread_facts::{Fact, FactKey};
-use crate::spread_lease::Due;
-use crate::spread_msg::SpreadMsg;
+use crate::spread::facts::{Fact, FactKey};
+use crate::spread::lease::Due;
+use crate::spread::msg::SpreadMsg;
 
 /// What is added to a sequence by a withdrawal, more than an upstream announces in its life.
 const LAST_SEQUENCE: u64 = 1 << 32;
--- a/crates/decide/src/spread_beat.rs
+++ b/crates/decide/src/spread/beat.rs
@@ -4,10 +4,10 @@
 
 use crate::Cx;
 use crate::spread::Spread;
-use crate::spread_facts::FactKey;
-use crate::spread_link::Link;
-use crate::spread_msg::{Beat, Hello, Place, SpreadMsg};
-use crate::spread_tree::{self, Tree};
+use crate::spread::facts::FactKey;
+use crate::spread::link::Link;
+use crate::spread::msg::{Beat, Hello, Place, SpreadMsg};
+use crate::spread::tree::{self, Tree};
 
 impl Spread {
     /// Sends the heartbeats that are due and looks for those that are missing.
@@ -142,7 +142,7 @@
         if self.me.control {
             parents.extend(controls.cloned());
         } else if self.tree.heads().contains(me) {
-            parents.extend(spread_tree::best(me, controls));
+            parents.extend(tree::best(me, controls));
         }
         parents
     }
--- a/crates/decide/src/spread_config.rs
+++ b/crates/decide/src/spread/config.rs
@@ -6,9 +6,9 @@
 use model::clock::{CLOCK_RATE_MARGIN_PER_MILLE, holder_lease};
 use model::{Config, ConfigVersion};
 
-use crate::spread_delta::{ConfigDelta, DeltaHistory};
-use crate::spread_msg::{ConfigState, ConfigUpdate};
-use crate::spread_settings::SpreadSettings;
+use crate::spread::delta::{ConfigDelta, DeltaHistory};
+use crate::spread::msg::{ConfigState, ConfigUpdate};
+use crate::spread::settings::SpreadSettings;
 
 /// The configuration that a host holds, and whether it is in force.
 ///
--- a/crates/decide/src/spread_flow.rs
+++ b/crates/decide/src/spread/flow.rs
@@ -12,9 +12,9 @@
 use crate::Cx;
 use crate::place;
 use crate::spread::Spread;
-use crate::spread_facts::{Digest, Fact, FactKey};
-use crate::spread_msg::{Place, SpreadMsg};
-use crate::spread_tree::{PARENTS, Tree};
+use crate::spread::facts::{Digest, Fact, FactKey};
+use crate::spread::msg::{Place, SpreadMsg};
+use crate::spread::tree::{PARENTS, Tree};
 
 /// How many facts one message carries at most.
 const FACTS_PER_MESSAGE: usize = 256;
--- a/crates/decide/src/spread_link.rs
+++ b/crates/decide/src/spread/link.rs
@@ -5,8 +5,8 @@
 
 use model::{ConfigVersion, Incarnation};
 
-use crate::spread_facts::FactKey;
-use crate::spread_msg::Place;
+use crate::spread::facts::FactKey;
+use crate::spread::msg::Place;
 
 /// How many sent beats are remembered, to date what the answers say.
 const BEATS_REMEMBERED: usize = 8;
--- a/crates/decide/src/spread_merge.rs
+++ b/crates/decide/src/spread/merge.rs
@@ -3,9 +3,9 @@
 use model::{HostId, HostInfo};
 
 use crate::spread::Spread;
-use crate::spread_facts::{Fact, Merged};
-use crate::spread_msg::{Place, SpreadMsg};
-use crate::spread_note::SpreadNote;
+use crate::spread::facts::{Fact, Merged};
+use crate::spread::msg::{Place, SpreadMsg};
+use crate::spread::note::SpreadNote;
 use crate::{Cx, Effect};
 
 impl Spread {
--- a/crates/decide/src/spread_missed.rs
+++ b/crates/decide/src/spread/missed.rs
@@ -6,9 +6,9 @@
 
 use crate::Cx;
 use crate::spread::Spread;
-use crate::spread_link::Link;
-use crate::spread_msg::SpreadMsg;
-use crate::spread_note::SpreadNote;
+use crate::spread::link::Link;
+use crate::spread::msg::SpreadMsg;
+use crate::spread::note::SpreadNote;
 
 /// After how many tries a missed host that is known to be dead is tried no more.
 const TRIES: u32 = 20;
--- a/crates/decide/src/spread_msg.rs
+++ b/crates/decide/src/spread/msg.rs
@@ -5,9 +5,9 @@
 use model::{Announcement, Config, ConfigVersion, HostId, Incarnation, UpstreamId};
 use serde::{Deserialize, Serialize};
 
-use crate::spread_delta::ConfigDelta;
-use crate::spread_facts::{Digest, Fact};
-use crate::spread_versions::HostVersion;
+use crate::spread::delta::ConfigDelta;
+use crate::spread::facts::{Digest, Fact};
+use crate::spread::versions::HostVersion;
 
 /// Messages of this area.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/decide/src/spread_push.rs
+++ b/crates/decide/src/spread/push.rs
@@ -6,9 +6,9 @@
 
 use crate::Cx;
 use crate::spread::Spread;
-use crate::spread_msg::{ConfigState, ConfigUpdate, SpreadMsg};
-use crate::spread_note::SpreadNote;
-use crate::spread_versions::HostVersion;
+use crate::spread::msg::{ConfigState, ConfigUpdate, SpreadMsg};
+use crate::spread::note::SpreadNote;
+use crate::spread::versions::HostVersion;
 
 /// How long an update may be on its way before it is sent again.
 const RESEND_AFTER: Duration = Duration::from_secs(1);
--- a/crates/decide/src/tokens.rs
+++ b/crates/decide/src/tokens.rs
@@ -7,8 +7,8 @@
 use model::{HostId, PartAddr};
 
 use crate::Cx;
+use crate::grant::leader::LeaderFinder;
 use crate::grant::{Allocator, GrantMsg, Holder, Seat};
-use crate::grant_leader::LeaderFinder;
 use crate::raft::{EntryData, Raft};
 
 /// The rates of one host's control part.
--- a/crates/decide/src/traffic.rs
+++ b/crates/decide/src/traffic.rs
@@ -10,7 +10,7 @@
 use crate::caller::CallerEvent;
 use crate::commit::{Commits, Resolved};
 use crate::entry::Entry;
-use crate::entry_flight::release;
+use crate::entry::flight::release;
 use crate::event::{AwaitCommit, Probed};
 use crate::owner::Owners;
 use crate::relay::{Bounce, RelayMsg, Run};
--- a/crates/decide/tests/raft/harness.rs
+++ b/crates/decide/tests/raft/harness.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use decide::call::{Call, Patch, PatchOutcome, Reply};
-use decide::conf_front::Front;
+use decide::conf::front::Front;
 use decide::raft::{Member, Persist, Raft, Recovered};
 use decide::{Event, Msg, Settings};
 use model::config::{Change, CommitRule};
--- a/crates/decide/tests/spread_delta.rs
+++ b/crates/decide/tests/spread_delta.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use decide::spread_delta::{ConfigDelta, DeltaHistory};
+use decide::spread::delta::{ConfigDelta, DeltaHistory};
 use model::Config;
 use model::config::{Service, Workspace};
 use proptest::collection::vec;
--- a/crates/decide/tests/spread_net/fleet.rs
+++ b/crates/decide/tests/spread_net/fleet.rs
@@ -142,7 +142,7 @@
     }
 }
 
-fn format_upstreams(tables: &decide::spread_tables::Tables) -> BTreeMap<&str, &[HostId]> {
+fn format_upstreams(tables: &decide::spread::tables::Tables) -> BTreeMap<&str, &[HostId]> {
     let upstreams = tables.upstreams().iter();
     upstreams
         .map(|(name, view)| (&**name, &view.owners[..]))
--- a/crates/decide/tests/spread_place.rs
+++ b/crates/decide/tests/spread_place.rs
@@ -1,7 +1,7 @@
 //! Placement: stable, minimal in what it moves, and the same however it is worked out.
 
 use decide::place;
-use decide::spread_tables::Tables;
+use decide::spread::tables::Tables;
 use model::{Announcement, HostId, HostInfo};
 use proptest::collection::vec;
 use proptest::prelude::*;
--- a/crates/host/tests/settings_doc.rs
+++ b/crates/host/tests/settings_doc.rs
@@ -12,11 +12,11 @@
 const SOURCES: [&str; 8] = [
     include_str!("../src/settings.rs"),
     include_str!("../../decide/src/session.rs"),
-    include_str!("../../decide/src/owner_settings.rs"),
+    include_str!("../../decide/src/owner/settings.rs"),
     include_str!("../../decide/src/breaker.rs"),
-    include_str!("../../decide/src/group_settings.rs"),
-    include_str!("../../decide/src/raft_settings.rs"),
-    include_str!("../../decide/src/spread_settings.rs"),
+    include_str!("../../decide/src/group/settings.rs"),
+    include_str!("../../decide/src/raft/settings.rs"),
+    include_str!("../../decide/src/spread/settings.rs"),
     include_str!("../../decide/src/grant.rs"),
 ];
 
