spread: tell a stranger where this host is; ask parents for facts in turn

Ruled out: lost facts on the links (streams were never asked for), the digest. Change: whoever tries a host that may not know it sends its own fact first; the parent that was asked longest ago is asked next.

--- a/crates/decide/src/spread/beat.rs
+++ b/crates/decide/src/spread/beat.rs
@@ -191,7 +191,8 @@
 
     /// Returns the request for a new stream of facts, if one is needed.
     ///
-    /// Only one parent is asked at a time, so that the second sends what the first has not.
+    /// Only one parent is asked at a time, so that the second sends what the first has not; the
+    /// one that was asked longest ago is next, since one that is heard need not hear this host.
     fn hello(&mut self, cx: &Cx<'_>, host: &HostId) -> Option<Box<Hello>> {
         let link = self.links.get(host)?;
         if !link.need || !(link.up || link.down) {
@@ -203,15 +204,28 @@
             if other.is_some_and(|(_, at)| cx.now < *at + wait) {
                 return None;
             }
+            let lacking = self.links.values().filter(|link| link.up && link.need);
+            if lacking.map(|link| link.asked).min() < Some(link.asked) {
+                return None;
+            }
             self.asked = Some((host.clone(), cx.now));
+            self.links.get_mut(host)?.asked = Some(cx.now);
         }
         let me = self.self_fact();
         let digest = self.facts.digest().clone();
         Some(Box::new(Hello { me, digest }))
     }
 
+    /// Sends a beat to a host that may not know this one, with what it needs to answer.
+    pub(crate) fn try_host(&mut self, cx: &mut Cx<'_>, host: &HostId) {
+        let place = Place::default();
+        let facts = vec![self.self_fact()];
+        cx.send_control(host, SpreadMsg::Facts { place, facts });
+        self.send_stray_beat(cx, host, 0);
+    }
+
     /// Sends a beat to a host that there is no link to.
-    pub(crate) fn send_stray_beat(&mut self, cx: &mut Cx<'_>, host: &HostId, echo: u32) {
+    fn send_stray_beat(&mut self, cx: &mut Cx<'_>, host: &HostId, echo: u32) {
         let beat = Beat {
             incarnation: self.me.incarnation,
             number: 0,
--- a/crates/decide/src/spread/link.rs
+++ b/crates/decide/src/spread/link.rs
@@ -34,6 +34,8 @@
     pub received: Place,
     /// Whether facts of the other have been lost, so that it must start anew.
     pub need: bool,
+    /// When the other was last asked for its facts, as a parent.
+    pub asked: Option<Instant>,
     /// The place up to which facts were sent.
     pub sent: Place,
     /// The moment at which the current stream was started.
@@ -66,6 +68,7 @@
             echo: 0,
             received: Place::default(),
             need: true,
+            asked: None,
             sent: Place::default(),
             stream_started: None,
             pending: BTreeSet::new(),
--- a/crates/decide/src/spread/missed.rs
+++ b/crates/decide/src/spread/missed.rs
@@ -124,7 +124,7 @@
         });
         self.look_for_returned(cx, &mut retried);
         for host in retried {
-            self.send_stray_beat(cx, &host, 0);
+            self.try_host(cx, &host);
         }
     }
 
--- a/crates/decide/tests/spread_fleet.rs
+++ b/crates/decide/tests/spread_fleet.rs
@@ -176,3 +176,45 @@
         }
     }
 }
+
+/// A parent that is heard but does not hear this host must not be the only one that is asked.
+#[test]
+fn a_host_that_one_parent_does_not_hear_learns_from_the_others() {
+    for seed in 0..8 {
+        let mut net = Net::with_hosts(40, 4, seed, |info| info.entry = !info.control);
+        settle(&mut net);
+        let lost = host_name(1, 3);
+        net.kill(&lost);
+        net.run(4 * SECOND);
+        net.restart(&lost);
+        // Names sort: each host of the data centre that comes first hears nothing of it.
+        let home = net.hosts_in("dc1");
+        for other in home.iter().filter(|other| **other != lost).take(3) {
+            net.one_way.insert((lost.clone(), other.clone()));
+        }
+        let all = net.hosts();
+        let took = net.run_until(10 * SECOND, |net| net.seen(&lost).len() == all.len());
+        println!("seed={seed} learned={took:?}");
+        assert!(took.is_some_and(|took| took < 4 * SECOND));
+    }
+}
+
+/// Many hosts that start at once are told of few others at first.
+#[test]
+fn all_hosts_of_a_fleet_that_starts_at_once_learn_everything() {
+    for seed in 0..8 {
+        let mut net = Net::with_hosts(140, 4, seed, |info| info.entry = !info.control);
+        net.loss = 40;
+        net.commit_next();
+        for data_centre in 0..4 {
+            let name = format!("u{data_centre}");
+            net.add_upstream(announcement(&name, data_centre, 1));
+        }
+        net.run(2 * SECOND);
+        net.loss = 0;
+        let all = net.hosts();
+        let took = net.run_until(20 * SECOND, |net| net.all_see(&all, &all));
+        println!("seed={seed} learned={took:?}");
+        assert!(took.is_some_and(|took| took < 6 * SECOND));
+    }
+}
--- a/crates/decide/tests/spread_net/mod.rs
+++ b/crates/decide/tests/spread_net/mod.rs
@@ -24,7 +24,7 @@
     pub(crate) running: bool,
     /// All versions that were in force in this start, in order.
     pub(crate) in_force: Vec<u64>,
-    /// The hosts that it can send to: it was told their addresses or heard them.
+    /// The hosts that it can send to: it was told their addresses.
     known: BTreeSet<HostId>,
     rng: SmallRng,
 }
@@ -58,6 +58,8 @@
     pub(crate) cut: BTreeSet<String>,
     /// Pairs of hosts that can't exchange anything.
     pub(crate) blocked: BTreeSet<(HostId, HostId)>,
+    /// Pairs of hosts of which the first can't send to the second.
+    pub(crate) one_way: BTreeSet<(HostId, HostId)>,
     /// Whether hosts are told of nothing that is lost.
     pub(crate) silent: bool,
     /// One message in so many is lost; zero for none.
@@ -107,6 +109,7 @@
             disks: BTreeMap::new(),
             cut: BTreeSet::new(),
             blocked: BTreeSet::new(),
+            one_way: BTreeSet::new(),
             silent: false,
             loss: 0,
             latency: Duration::from_millis(1),
@@ -246,12 +249,11 @@
 
     fn send(&mut self, from: &HostId, to: PartAddr, msg: SpreadMsg) {
         assert_ne!(*from, to.host, "no message to itself");
-        let known = &self.nodes[from].known;
-        assert!(
-            known.contains(&to.host),
-            "{from} has no address of {}",
-            to.host
-        );
+        if !self.nodes[from].known.contains(&to.host) {
+            // A host hands such a message back to itself.
+            let (from, to) = (from.clone(), to.host.clone());
+            return self.put(self.now, Due::LinkDown(from, to));
+        }
         let count = self.sent.entry(from.clone()).or_default();
         count.0 += 1;
         if self.count_bytes {
@@ -356,8 +358,8 @@
     fn deliver(&mut self, due: Due) {
         match due {
             Due::Message(from, to, msg) => {
-                if self.passes(&from.host, &to) && self.nodes[&from.host].running {
-                    self.node(&to).known.insert(from.host.clone());
+                let lost = self.one_way.contains(&(from.host.clone(), to.clone()));
+                if !lost && self.passes(&from.host, &to) && self.nodes[&from.host].running {
                     self.with(&to, |spread, cx| spread.on_msg(cx, from, *msg));
                 }
             }
