spread: apply a difference only to the version that it starts from

Ruled out: a host that serves by an old version (event 530 shows the newest on frontend-kgn-b-31). Change: a difference fits its base alone; any other host gets the whole configuration.

--- a/crates/decide/src/spread/delta.rs
+++ b/crates/decide/src/spread/delta.rs
@@ -33,8 +33,11 @@
     }
 
     /// Returns whether it can be applied to a version.
+    ///
+    /// Only to the one that it starts from: versions between were never seen by whoever made it,
+    /// and what they set and a later one took back would stay.
     pub fn fits(&self, version: ConfigVersion) -> bool {
-        self.base <= version && version < self.version
+        self.base == version
     }
 
     /// Applies it to a configuration that it fits.
--- a/crates/decide/tests/spread_delta.rs
+++ b/crates/decide/tests/spread_delta.rs
@@ -81,4 +81,36 @@
             }
         }
     }
+
+    /// A host that missed versions must not patch up one that it never held.
+    #[test]
+    fn differences_that_skip_versions_never_lead_to_another_configuration(
+        steps in vec(step(), 2..30),
+        skipped in vec(any::<bool>(), 30),
+    ) {
+        let mut versions = vec![Config::default()];
+        for step in steps {
+            let mut new = versions.last().expect("a version").clone();
+            apply(&mut new, step);
+            versions.push(new);
+        }
+        let last = versions.last().expect("a version");
+        let held_by_sender = versions.iter().zip(&skipped);
+        let mut chain: Vec<&Config> = held_by_sender
+            .filter(|(config, skipped)| !**skipped && config.version < last.version)
+            .map(|(config, _)| config)
+            .collect();
+        chain.push(last);
+        let mut history = DeltaHistory::default();
+        for pair in chain.windows(2) {
+            history.push(ConfigDelta::between(pair[0], pair[1]), 40);
+        }
+        for held in &versions {
+            if let Some(delta) = history.since(held.version).filter(|delta| delta.fits(held.version)) {
+                let mut config = held.clone();
+                delta.apply(&mut config);
+                prop_assert_eq!(&config, last);
+            }
+        }
+    }
 }
