grant: keep reserves for the time in which the leader does not answer

Hosts hold half a second of demand, and on a grown fleet nothing at all for a workspace that they see every few seconds. Change: the platform states how far a window may be passed (quota-overage, quota-tolerance). Nine tenths of that, and a tenth of what the window allows, are a reserve of each workspace, counted apart by the leader: what is out and what was used in the last window never pass it. In each data centre one host keeps its part and lends to hosts that the leader has left unanswered for 15 ms. A new leader hands out reserves once all hosts have told, else after reserve_lease and a window.

--- a/crates/carawayd/tests/deploy.rs
+++ b/crates/carawayd/tests/deploy.rs
@@ -8,7 +8,7 @@
 use host::{HostSettings, settings_file};
 
 /// What the platform fills in, as an example.
-const FIELDS: [(&str, &str); 13] = [
+const FIELDS: [(&str, &str); 15] = [
     ("{{ip}}", "10.1.0.26"),
     ("{{zone}}", "kgn-a"),
     ("{{node-name}}", "core-kgn-a-1"),
@@ -22,6 +22,8 @@
     ("{{cloud-api.address}}", "10.200.0.2:8466"),
     ("{{bounds.revoke-ms}}", "5000"),
     ("{{bounds.quota-window-s}}", "5"),
+    ("{{bounds.quota-overage}}", "0.1"),
+    ("{{bounds.quota-tolerance}}", "20"),
 ];
 
 fn render(name: &str) -> HostSettings {
--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -9,6 +9,7 @@
 use crate::call::{Call, Reply};
 use crate::conf::Committed;
 use crate::conf::front::Front;
+use crate::grant::Home;
 use crate::group::{GroupMsg, Groups};
 use crate::raft::{EntryData, Raft, RaftMsg, Recovered};
 use crate::spread::{Seed, Spread};
@@ -205,7 +206,11 @@
         let controls = self.spread.control_hosts();
         self.front.set_voters(controls.clone());
         self.tokens.set_voters(controls);
-        self.tokens.holder.on_config(&view.config);
+        self.tokens.holder.on_config(cx, &view.config);
+        if cx.me.entry {
+            let home = Home::of(cx.me, view.hosts.values());
+            self.tokens.holder.set_home(cx, home);
+        }
         cx.emit(Effect::Publish(view));
     }
 
--- a/crates/decide/src/grant.rs
+++ b/crates/decide/src/grant.rs
@@ -10,6 +10,8 @@
 pub(crate) mod book;
 pub(crate) mod hold;
 pub(crate) mod leader;
+pub(crate) mod recent;
+pub(crate) mod reserve;
 pub(crate) mod stock;
 
 use std::fmt;
@@ -24,6 +26,7 @@
 pub use crate::grant::alloc::Allocator;
 pub use crate::grant::base::{BaseShare, Seat, base_share};
 pub use crate::grant::hold::Holder;
+pub use crate::grant::reserve::{Home, ReserveAsk};
 
 /// Settings of this feature.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -51,6 +54,15 @@
     /// How long a request may wait for a token.
     #[serde(with = "humantime_serde")]
     pub max_wait: Duration,
+    /// How far a workspace may pass what its window allows while no leader answers, as a share.
+    pub reserve_share: f64,
+    /// How many tokens more it may pass that by.
+    pub reserve_tokens: u32,
+    /// The part of what a workspace's window allows that is kept back for the reserve.
+    pub reserve_kept: f64,
+    /// How long a host may use its reserve after a grant.
+    #[serde(with = "humantime_serde")]
+    pub reserve_lease: Duration,
 }
 
 impl Default for GrantSettings {
@@ -64,6 +76,10 @@
             report_every: Duration::from_millis(100),
             horizon: Duration::from_millis(200),
             max_wait: Duration::from_millis(500),
+            reserve_share: 0.0,
+            reserve_tokens: 0,
+            reserve_kept: 0.0,
+            reserve_lease: Duration::from_secs(4),
         }
     }
 }
@@ -90,9 +106,10 @@
         };
         let flows = cfg.burst / 2;
         let flow = NanoTokens::from(flows) * TOKEN * TOKEN / window.as_nanos();
+        let used_at_will = (1.0 - self.reserve_kept).clamp(0.0, 1.0);
         Limits {
-            rate: rate + flow,
-            burst: cfg.burst - flows,
+            rate: ((rate + flow) as f64 * used_at_will) as NanoTokens,
+            burst: (f64::from(cfg.burst - flows) * used_at_will) as u32,
         }
     }
 }
@@ -120,6 +137,10 @@
     Demand(Demand),
     /// The leader hands out tokens.
     Grant(Grant),
+    /// A host that the leader does not answer asks the keeper of a reserve for tokens.
+    Borrow(Lot),
+    /// The keeper of a reserve lends tokens, to use at once.
+    Lent(Lot),
     /// A host asks a voter who leads.
     WhoLeads,
     /// A voter says who leads in which term, as far as it knows.
@@ -137,6 +158,8 @@
     pub term: u64,
     /// The last grant that the host received, by term and number.
     pub echo: Option<(u64, u64)>,
+    /// Whether it has run for longer than its uses are counted.
+    pub remembers: bool,
     /// The workspaces that it holds tokens of, or needs tokens of.
     pub asks: Vec<Ask>,
 }
@@ -154,6 +177,8 @@
     pub need: u32,
     /// How many tokens it would like besides, for the requests that it expects.
     pub want: u32,
+    /// Its reserve, unless the leader knows that already.
+    pub reserve: Option<ReserveAsk>,
 }
 
 /// Tokens for a host.
@@ -169,8 +194,21 @@
     pub seat: Option<Seat>,
     /// How long the host may use its tokens, counted from its demand.
     pub lease: Duration,
+    /// How long it may use its reserve, counted from its demand.
+    pub reserve_lease: Duration,
     /// The tokens.
-    pub lots: Vec<Lot>,
+    pub lots: Vec<GrantLot>,
+}
+
+/// Tokens of one workspace in a grant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GrantLot {
+    /// The workspace.
+    pub workspace: WorkspaceId,
+    /// How many to use at will.
+    pub tokens: u32,
+    /// How many for when the leader does not answer.
+    pub reserve: u32,
 }
 
 /// Tokens of one workspace.
@@ -233,6 +271,13 @@
         /// The seat that they go with.
         seat: Seat,
     },
+    /// The leader does not answer this host, which uses its reserve from now on.
+    ReserveUsed {
+        /// How long ago the leader was asked first.
+        unanswered: Duration,
+        /// How many tokens of all workspaces are left.
+        left: u32,
+    },
 }
 
 impl Numbered for GrantNote {
@@ -241,6 +286,7 @@
             Self::Allocating { .. } => 600,
             Self::BaseUnused { .. } => 601,
             Self::BaseUsed { .. } => 602,
+            Self::ReserveUsed { .. } => 603,
         }
     }
 
@@ -248,7 +294,7 @@
         match self {
             Self::Allocating { .. } => log::Level::Info,
             Self::BaseUnused { .. } => log::Level::Debug,
-            Self::BaseUsed { .. } => log::Level::Warn,
+            Self::BaseUsed { .. } | Self::ReserveUsed { .. } => log::Level::Warn,
         }
     }
 }
@@ -259,6 +305,10 @@
             Self::Allocating { term } => write!(f, "allocating term={term}"),
             Self::BaseUnused { host } => write!(f, "base-unused host={host}"),
             Self::BaseUsed { seat } => write!(f, "base-used seat={seat}"),
+            Self::ReserveUsed { unanswered, left } => {
+                let unanswered = unanswered.as_millis();
+                write!(f, "reserve-used unanswered_ms={unanswered} left={left}")
+            }
         }
     }
 }
--- a/crates/decide/src/grant/alloc.rs
+++ b/crates/decide/src/grant/alloc.rs
@@ -9,7 +9,8 @@
 use crate::Cx;
 use crate::grant::base::{Seat, base_burst, base_share};
 use crate::grant::book::{Book, Floating};
-use crate::grant::{Ask, Demand, Grant, GrantMsg, GrantNote, GrantSettings, Lot};
+use crate::grant::reserve::Reserves;
+use crate::grant::{Ask, Demand, Grant, GrantLot, GrantMsg, GrantNote, GrantSettings};
 
 /// How many grants to a host are remembered for its echo.
 const REMEMBERED_GRANTS: usize = 64;
@@ -22,6 +23,7 @@
     seats: HashMap<HostId, Seat>,
     hosts: HashMap<HostId, HostBook>,
     books: HashMap<WorkspaceId, Book>,
+    reserves: Reserves,
     /// The seats of the hosts that may use their base shares.
     absent: Vec<Seat>,
     /// The moment up to which `absent` holds and no host's tokens run out.
@@ -51,6 +53,8 @@
     sent: VecDeque<(u64, Instant)>,
     /// When the host can't use any tokens any more.
     until: Option<Instant>,
+    /// When the host can't use its reserve any more.
+    reserve_until: Option<Instant>,
     /// Until when it is known to leave its base share unused.
     base_unused_until: Option<Instant>,
 }
@@ -68,13 +72,14 @@
     }
 
     /// Numbers a grant that is sent now.
-    fn next(&mut self, now: Instant, lease: Duration) -> u64 {
+    fn next(&mut self, now: Instant, lease: Duration, reserve_lease: Duration) -> u64 {
         self.number += 1;
         self.sent.push_back((self.number, now));
         if self.sent.len() > REMEMBERED_GRANTS {
             self.sent.pop_front();
         }
         self.until = Some(now + lease);
+        self.reserve_until = Some(now + reserve_lease);
         self.number
     }
 }
@@ -95,6 +100,7 @@
         });
         self.hosts.clear();
         self.books.clear();
+        self.reserves.start(cx.now, &cx.settings.grant);
         self.holds_until = None;
         self.open_books(from);
         cx.note(GrantNote::Allocating { term });
@@ -159,7 +165,15 @@
         if book.seen.is_some_and(|last| last >= seen) {
             return;
         }
-        book.seen = Some(seen);
+        let started = book.seen.replace(seen);
+        if started.is_some_and(|(incarnation, _)| incarnation < demand.incarnation) {
+            self.reserves.lapse(cx.now, host);
+        }
+        if demand.term == term {
+            let asks = &demand.asks;
+            self.reserves.report(cx.now, host, asks, demand.remembers);
+            self.reserves.open_if_known(cx.now, self.seats.keys());
+        }
         if cx.now < starts {
             return self.on_report(cx, host, demand);
         }
@@ -168,9 +182,13 @@
             self.on_echo(cx, host, number, &demand.asks);
             self.refresh(cx);
         }
-        let lease = cx.settings.grant.lease;
+        let GrantSettings {
+            lease,
+            reserve_lease,
+            ..
+        } = cx.settings.grant;
         let book = self.hosts.entry(host.clone()).or_default();
-        let number = book.next(cx.now, lease);
+        let number = book.next(cx.now, lease, reserve_lease);
         let lots = self.hand_out(cx, host, number, &demand.asks);
         let grant = Grant {
             term,
@@ -178,6 +196,7 @@
             demand: demand.seq,
             seat: self.seats.get(host).copied(),
             lease,
+            reserve_lease,
             lots,
         };
         cx.send(from.clone(), GrantMsg::Grant(grant));
@@ -226,10 +245,11 @@
             let ask = asks.iter().find(|ask| ask.workspace == *workspace);
             book.settle(host, number, ask.map_or(0, |ask| ask.left));
         }
+        self.reserves.settle(cx.now, host, number, asks);
     }
 
     /// Hands out tokens of the workspaces that a host asks for.
-    fn hand_out(&mut self, cx: &Cx<'_>, host: &HostId, number: u64, asks: &[Ask]) -> Vec<Lot> {
+    fn hand_out(&mut self, cx: &Cx<'_>, host: &HostId, number: u64, asks: &[Ask]) -> Vec<GrantLot> {
         let mut lots = Vec::new();
         for ask in asks {
             let Some(floating) = self.floating(cx, &ask.workspace) else {
@@ -240,14 +260,28 @@
             };
             book.refill(cx.now, &floating);
             let tokens = book.hand_out(host, number, ask, &floating);
-            if tokens > 0 {
+            let limit = self.reserve_limit(cx, &ask.workspace);
+            let reserve = self.reserves.hand_out(cx.now, host, number, ask, limit);
+            if tokens + reserve > 0 {
                 let workspace = ask.workspace.clone();
-                lots.push(Lot { workspace, tokens });
+                lots.push(GrantLot {
+                    workspace,
+                    tokens,
+                    reserve,
+                });
             }
         }
         lots
     }
 
+    /// Returns the reserve of a workspace, and the window that it is counted over.
+    fn reserve_limit(&self, cx: &Cx<'_>, workspace: &WorkspaceId) -> (u32, Duration) {
+        let settings = &cx.settings.grant;
+        let cfg = self.config.workspaces.get(workspace);
+        let reserve = cfg.map_or(0, |cfg| settings.reserve_of(cfg));
+        (reserve, settings.window.unwrap_or_default())
+    }
+
     /// Returns what of a workspace isn't set aside for hosts that may use their base shares.
     fn floating(&self, cx: &Cx<'_>, workspace: &WorkspaceId) -> Option<Floating> {
         let settings: &GrantSettings = &cx.settings.grant;
@@ -296,7 +330,7 @@
         let ends = self
             .hosts
             .values()
-            .flat_map(|book| [book.until, book.base_unused_until]);
+            .flat_map(|book| [book.until, book.reserve_until, book.base_unused_until]);
         let ends = ends.flatten().filter(|end| *end > now);
         self.holds_until = Some(ends.fold(now + cx.settings.grant.lease, Instant::min));
     }
@@ -309,6 +343,10 @@
                     tokens.lapse(host);
                 }
             }
+            let ended = book.reserve_until.take_if(|until| *until <= now);
+            if ended.is_some() {
+                self.reserves.lapse(now, host);
+            }
         }
     }
 }
--- a/crates/decide/src/grant/book.rs
+++ b/crates/decide/src/grant/book.rs
@@ -17,7 +17,49 @@
     /// When `hand` was last brought up to date.
     at: Instant,
     /// What hosts may still use.
-    out: HashMap<HostId, Vec<Lump>>,
+    out: Outstanding,
+}
+
+/// Tokens that hosts were granted and may still use.
+#[derive(Debug, Default)]
+pub(crate) struct Outstanding {
+    hosts: HashMap<HostId, Vec<Lump>>,
+}
+
+impl Outstanding {
+    /// Returns how many there are.
+    pub(crate) fn total(&self) -> u32 {
+        let lumps = self.hosts.values().flatten();
+        lumps.map(|lump| lump.tokens).sum()
+    }
+
+    /// Settles what a host has received up to a grant: it may still use only so many.
+    ///
+    /// Returns how many it could have used before.
+    pub(crate) fn settle(&mut self, host: &HostId, number: u64, left: u32) -> u32 {
+        if left == 0 && !self.hosts.contains_key(host) {
+            return 0;
+        }
+        let lumps = self.hosts.entry(host.clone()).or_default();
+        let settled = lumps.extract_if(.., |lump| lump.number <= number);
+        let had = settled.map(|lump| lump.tokens).sum();
+        self.add(host, number, left);
+        had
+    }
+
+    /// Adds tokens of a grant.
+    pub(crate) fn add(&mut self, host: &HostId, number: u64, tokens: u32) {
+        if tokens > 0 {
+            let lumps = self.hosts.entry(host.clone()).or_default();
+            lumps.push(Lump { number, tokens });
+        }
+    }
+
+    /// Forgets what a host held; returns how many there were.
+    pub(crate) fn lapse(&mut self, host: &HostId) -> u32 {
+        let lumps = self.hosts.remove(host).unwrap_or_default();
+        lumps.iter().map(|lump| lump.tokens).sum()
+    }
 }
 
 /// Tokens that went to a host in one grant, or what is left of several.
@@ -44,7 +86,7 @@
         Self {
             hand: 0,
             at: from,
-            out: HashMap::default(),
+            out: Outstanding::default(),
         }
     }
 
@@ -64,40 +106,18 @@
 
     /// Drops what is above the burst.
     fn cap(&mut self, floating: &Floating) {
-        let room = floating.burst.saturating_sub(self.outstanding());
+        let room = floating.burst.saturating_sub(self.out.total());
         self.hand = self.hand.min(NanoTokens::from(room) * TOKEN);
     }
 
-    /// Returns how many tokens hosts may still use.
-    fn outstanding(&self) -> u32 {
-        let lumps = self.out.values().flatten();
-        lumps.map(|lump| lump.tokens).sum()
-    }
-
     /// Settles what a host has received up to a grant: it may still use only so many.
     pub(crate) fn settle(&mut self, host: &HostId, number: u64, left: u32) {
-        let Some(lumps) = self.out.get_mut(host) else {
-            if left > 0 {
-                let lump = Lump {
-                    number,
-                    tokens: left,
-                };
-                self.out.insert(host.clone(), vec![lump]);
-            }
-            return;
-        };
-        lumps.retain(|lump| lump.number > number);
-        if left > 0 {
-            lumps.push(Lump {
-                number,
-                tokens: left,
-            });
-        }
+        self.out.settle(host, number, left);
     }
 
     /// Forgets what a host held, since its lease has run out.
     pub(crate) fn lapse(&mut self, host: &HostId) {
-        self.out.remove(host);
+        self.out.lapse(host);
     }
 
     /// Takes back and hands out tokens; returns how many the host gets.
@@ -110,15 +130,14 @@
     ) -> u32 {
         self.hand += NanoTokens::from(ask.returned) * TOKEN;
         self.cap(floating);
-        let room = floating.out.saturating_sub(self.outstanding());
+        let room = floating.out.saturating_sub(self.out.total());
         let most = whole(self.hand).min(room);
         let need = ask.need.min(most);
         let ahead = ask.want.min((most - need) / AHEAD_SHARE);
         let tokens = need + ahead;
         if tokens > 0 {
             self.hand -= NanoTokens::from(tokens) * TOKEN;
-            let lumps = self.out.entry(host.clone()).or_default();
-            lumps.push(Lump { number, tokens });
+            self.out.add(host, number, tokens);
         }
         tokens
     }
--- a/crates/decide/src/grant/hold.rs
+++ b/crates/decide/src/grant/hold.rs
@@ -5,11 +5,11 @@
 use std::time::{Duration, Instant};
 
 use model::clock::{CLOCK_RATE_MARGIN_PER_MILLE, holder_lease};
-use model::{Config, HashMap, HostId, PartId, WorkspaceId};
+use model::{Config, HashMap, HostId, PartAddr, PartId, WorkspaceId};
 
 use crate::grant::base::{BaseShare, Seat, base_share};
 use crate::grant::stock::Stock;
-use crate::grant::{Ask, Demand, Feed, Grant, GrantMsg, GrantNote, Lot, PartNeed};
+use crate::grant::{Ask, Demand, Feed, Grant, GrantMsg, GrantNote, Home, Lot, PartNeed};
 use crate::{Cx, Effect, Event};
 
 /// How many demands are remembered for the grants that answer them.
@@ -25,6 +25,14 @@
 
 /// How often requests that wait look at the base share.
 const BASE_STEP: Duration = Duration::from_millis(20);
+/// How long the leader may leave a demand unanswered before the reserve is used.
+///
+/// Several trips between data centres, and less than a request may wait for a token.
+const RESERVE_AFTER: Duration = Duration::from_millis(15);
+/// How long tokens of the reserve may be used once they are with a traffic part.
+const RESERVE_HOLDS: Duration = Duration::from_millis(100);
+/// How often the keeper of a reserve is asked for more.
+const BORROW_EVERY: Duration = Duration::from_millis(10);
 
 /// The tokens that a host holds, in its control part.
 #[derive(Debug, Default)]
@@ -39,6 +47,14 @@
     stocks: HashMap<WorkspaceId, Stock>,
     /// When the tokens run out.
     until: Option<Instant>,
+    /// The hosts that share reserves with this one.
+    home: Home,
+    /// When the reserve runs out.
+    reserve_until: Option<Instant>,
+    /// Whether the reserve is in use.
+    on_reserve: bool,
+    /// When this host was first seen to run.
+    since: Option<Instant>,
     /// From when the base shares may be used.
     base_from: Option<Instant>,
     /// Whether the base shares are in use.
@@ -91,11 +107,22 @@
     }
 
     /// Takes in the configuration in force.
-    pub fn on_config(&mut self, config: &Arc<Config>) {
-        self.config = config.clone();
+    pub fn on_config(&mut self, cx: &Cx<'_>, config: &Arc<Config>) {
+        let old = std::mem::replace(&mut self.config, config.clone());
         let workspaces = &self.config.workspaces;
+        for (workspace, stock) in &mut self.stocks {
+            let limits = |config: &Config| {
+                let cfg = config.workspaces.get(workspace);
+                cfg.map(|cfg| (cfg.rate, cfg.burst))
+            };
+            // The reserve was handed out under the limits of before.
+            if limits(&old) != limits(config) {
+                stock.reserve.expire();
+            }
+        }
         self.stocks
             .retain(|workspace, _| workspaces.contains_key(workspace));
+        self.set_targets(cx);
     }
 
     /// Takes in this host's committed seat, and the moment at which it was confirmed to have it.
@@ -122,6 +149,7 @@
         self.feed(cx, need.part, lots);
         self.use_base(cx);
         self.demand_if_due(cx);
+        self.use_reserve(cx);
         self.reschedule(cx);
     }
 
@@ -142,6 +170,7 @@
         self.answered |= grant.demand == self.seq;
         self.until = Some(sent_at + holder_lease(grant.lease));
         self.rest_base(cx, grant.lease);
+        self.take_reserve(cx, grant, sent_at);
         if self.until <= Some(cx.now) {
             return self.reschedule(cx);
         }
@@ -165,6 +194,122 @@
         self.reschedule(cx);
     }
 
+    /// Takes in reserves from the leader.
+    fn take_reserve(&mut self, cx: &Cx<'_>, grant: &Grant, sent_at: Instant) {
+        self.on_reserve = false;
+        self.reserve_until = Some(sent_at + holder_lease(grant.reserve_lease));
+        for stock in self.stocks.values_mut() {
+            stock.reserve.answered(grant.demand);
+        }
+        if self.reserve_until <= Some(cx.now) {
+            return;
+        }
+        for lot in grant.lots.iter().filter(|lot| lot.reserve > 0) {
+            let stock = self.stocks.entry(lot.workspace.clone()).or_default();
+            stock.reserve.add(lot.reserve);
+        }
+    }
+
+    /// Follows which hosts share reserves with this one.
+    pub fn set_home(&mut self, cx: &Cx<'_>, home: Home) {
+        if self.home != home {
+            self.home = home;
+            self.set_targets(cx);
+        }
+    }
+
+    /// Works out which reserves this host keeps.
+    fn set_targets(&mut self, cx: &Cx<'_>) {
+        let settings = &cx.settings.grant;
+        for (workspace, cfg) in &self.config.workspaces {
+            let reserve = settings.reserve_of(cfg);
+            if reserve == 0 {
+                continue;
+            }
+            let keeps = self.home.keeper(workspace) == Some(&cx.me.host);
+            let target = if keeps { self.home.part(reserve) } else { 0 };
+            if keeps || self.stocks.contains_key(workspace) {
+                let stock = self.stocks.entry(workspace.clone()).or_default();
+                stock.reserve.target = target;
+            }
+        }
+    }
+
+    /// Uses the reserves for requests that wait, if the leader does not answer.
+    fn use_reserve(&mut self, cx: &mut Cx<'_>) {
+        let unanswered = self.unanswered(cx.now);
+        if self.leader.is_some() && unanswered < RESERVE_AFTER {
+            return;
+        }
+        let mut feeds: HashMap<PartId, Vec<Lot>> = HashMap::default();
+        for (workspace, stock) in &mut self.stocks {
+            for (part, tokens) in stock.draw_reserve(cx.now) {
+                let workspace = workspace.clone();
+                let lots = feeds.entry(part).or_default();
+                lots.push(Lot { workspace, tokens });
+            }
+            let need = stock.need();
+            let asked = stock.reserve.borrowed_at;
+            let asked = asked.is_some_and(|at| cx.now < at + BORROW_EVERY);
+            let keeper = self.home.keeper(workspace).filter(|_| need > 0 && !asked);
+            if let Some(keeper) = keeper.filter(|keeper| **keeper != cx.me.host) {
+                stock.reserve.borrowed_at = Some(cx.now);
+                let workspace = workspace.clone();
+                let tokens = need;
+                cx.send_control(keeper, GrantMsg::Borrow(Lot { workspace, tokens }));
+            }
+        }
+        if !feeds.is_empty() {
+            self.note_reserve(cx);
+            self.until.get_or_insert(cx.now + RESERVE_HOLDS);
+            self.feed_all(cx, feeds);
+        }
+    }
+
+    fn note_reserve(&mut self, cx: &mut Cx<'_>) {
+        if !std::mem::replace(&mut self.on_reserve, true) {
+            let unanswered = self.unanswered(cx.now);
+            let left = self.stocks.values().map(|stock| stock.reserve.left()).sum();
+            cx.note(GrantNote::ReserveUsed { unanswered, left });
+        }
+    }
+
+    /// Lends tokens of a reserve that this host keeps.
+    pub fn on_borrow(&mut self, cx: &mut Cx<'_>, from: &PartAddr, lot: Lot) {
+        self.expire(cx);
+        let Some(stock) = self.stocks.get_mut(&lot.workspace) else {
+            return;
+        };
+        let tokens = stock.reserve.draw(cx.now + RESERVE_HOLDS, lot.tokens);
+        if tokens > 0 {
+            let workspace = lot.workspace;
+            cx.send(from.clone(), GrantMsg::Lent(Lot { workspace, tokens }));
+        }
+    }
+
+    /// Takes tokens that the keeper of a reserve has lent.
+    pub fn on_lent(&mut self, cx: &mut Cx<'_>, lot: &Lot) {
+        self.expire(cx);
+        let Some(stock) = self.stocks.get_mut(&lot.workspace) else {
+            return;
+        };
+        let mut feeds: HashMap<PartId, Vec<Lot>> = HashMap::default();
+        for (part, tokens) in stock.add(lot.tokens) {
+            let workspace = lot.workspace.clone();
+            feeds.insert(part, vec![Lot { workspace, tokens }]);
+        }
+        self.note_reserve(cx);
+        self.until.get_or_insert(cx.now + RESERVE_HOLDS);
+        self.feed_all(cx, feeds);
+        self.reschedule(cx);
+    }
+
+    /// Returns for how long the leader has left demands unanswered.
+    fn unanswered(&self, now: Instant) -> Duration {
+        let since = self.asked_since;
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
     /// Leaves the base shares unused for longer than the leader relies on it.
     fn rest_base(&mut self, cx: &Cx<'_>, lease: Duration) {
         let margin = lease * 2 * CLOCK_RATE_MARGIN_PER_MILLE / 1000;
@@ -189,6 +334,14 @@
         if self.until.take_if(|until| *until <= cx.now).is_some() {
             self.stocks.values_mut().for_each(Stock::expire);
         }
+        if self
+            .reserve_until
+            .take_if(|until| *until <= cx.now)
+            .is_some()
+        {
+            let stocks = self.stocks.values_mut();
+            stocks.for_each(|stock| stock.reserve.expire());
+        }
         // A host that has just started may have promised to leave its base shares unused.
         let rest = cx.settings.grant.lease * 2;
         self.base_from.get_or_insert(cx.now + rest);
@@ -254,16 +407,24 @@
         self.answered = false;
         self.asked_since.get_or_insert(cx.now);
         self.news = News::None;
-        let asks = self
-            .stocks
-            .iter_mut()
-            .filter_map(|(workspace, stock)| stock.ask(workspace))
-            .collect::<Vec<Ask>>();
+        let settings = &cx.settings.grant;
+        let (now, seq) = (cx.now, self.seq);
+        // A leader that has not granted anything yet does not know what this host holds.
+        let everything = self.echo.is_none_or(|(term, _)| term != self.term);
+        let ask = |(workspace, stock): (&WorkspaceId, &mut Stock)| {
+            let reserve = stock.reserve.ask(now, seq, everything, settings);
+            stock.ask(workspace, reserve)
+        };
+        let asks: Vec<Ask> = self.stocks.iter_mut().filter_map(ask).collect();
+        let since = *self.since.get_or_insert(now);
+        let window = settings.window.unwrap_or_default();
+        let remembers = now.saturating_duration_since(since) > window;
         let demand = Demand {
             incarnation: cx.me.incarnation,
             seq: self.seq,
             term: self.term,
             echo: self.echo,
+            remembers,
             asks,
         };
         cx.send_control(&leader, GrantMsg::Demand(demand));
@@ -291,6 +452,7 @@
             self.news = News::Needed;
         }
         self.demand_if_due(cx);
+        self.use_reserve(cx);
         self.reschedule(cx);
     }
 
@@ -315,7 +477,11 @@
         let waits = self.stocks.values().any(|stock| stock.need() > 0);
         let base = self.seat.filter(|_| waits).and(self.base_from);
         let base = base.map(|from| from.max(cx.now + BASE_STEP));
-        self.wake_at = [demand, base, self.until].into_iter().flatten().min();
+        let reserve = self.asked_since.filter(|_| waits);
+        let reserve = reserve.map(|since| (since + RESERVE_AFTER).max(cx.now + BORROW_EVERY));
+        let ends = [self.until, self.reserve_until];
+        let all = [demand, base, reserve].into_iter().chain(ends);
+        self.wake_at = all.flatten().min();
     }
 }
 
--- a/crates/decide/src/grant/stock.rs
+++ b/crates/decide/src/grant/stock.rs
@@ -5,7 +5,8 @@
 use model::{HashMap, PartId, WorkspaceId};
 
 use crate::grant::base::BaseShare;
-use crate::grant::{Ask, NanoTokens, PartUse, TOKEN, inflow, whole};
+use crate::grant::reserve::ReserveStock;
+use crate::grant::{Ask, NanoTokens, PartUse, ReserveAsk, TOKEN, inflow, whole};
 
 /// The tokens of one workspace.
 #[derive(Debug, Default)]
@@ -13,6 +14,8 @@
     /// The tokens that no part has.
     free: u32,
     parts: HashMap<PartId, PartStock>,
+    /// What is kept for when the leader does not answer.
+    pub(crate) reserve: ReserveStock,
     /// The content of the base share's bucket.
     base: NanoTokens,
     /// When `base` was last brought up to date.
@@ -82,7 +85,11 @@
     }
 
     /// Returns what to tell the leader, and gives back what no part wants.
-    pub(crate) fn ask(&mut self, workspace: &WorkspaceId) -> Option<Ask> {
+    pub(crate) fn ask(
+        &mut self,
+        workspace: &WorkspaceId,
+        reserve: Option<ReserveAsk>,
+    ) -> Option<Ask> {
         let returned = std::mem::take(&mut self.free);
         let left = self.left();
         let need = self.need();
@@ -93,8 +100,10 @@
             returned,
             need,
             want,
+            reserve,
         };
-        (left + returned + need + want > 0).then_some(ask)
+        let tells = left + returned + need + want > 0 || reserve.is_some();
+        tells.then_some(ask)
     }
 
     /// Uses the base share for requests that wait; returns which parts get how many tokens.
@@ -113,6 +122,14 @@
         self.add(tokens)
     }
 
+    /// Uses the reserve for requests that wait; returns which parts get how many tokens.
+    pub(crate) fn draw_reserve(&mut self, now: Instant) -> Vec<(PartId, u32)> {
+        match self.reserve.draw(now, self.need()) {
+            0 => Vec::new(),
+            tokens => self.add(tokens),
+        }
+    }
+
     /// Empties the base share's bucket.
     pub(crate) fn clear_base(&mut self) {
         self.base = 0;
--- a/crates/decide/src/tokens.rs
+++ b/crates/decide/src/tokens.rs
@@ -78,6 +78,8 @@
     ) {
         match msg {
             GrantMsg::Grant(grant) => self.holder.on_grant(cx, &grant),
+            GrantMsg::Borrow(lot) => self.holder.on_borrow(cx, &from, lot),
+            GrantMsg::Lent(lot) => self.holder.on_lent(cx, &lot),
             GrantMsg::Leader(Some((term, leader))) => self.holder.set_leader(cx, term, leader),
             GrantMsg::Leader(None) => {}
             GrantMsg::WhoLeads => {
--- a/crates/decide/tests/grant.rs
+++ b/crates/decide/tests/grant.rs
@@ -291,6 +291,7 @@
         demand: 1,
         seat: Some(0),
         lease: GrantSettings::default().lease,
+        reserve_lease: GrantSettings::default().reserve_lease,
         lots: Vec::new(),
     };
     fleet.elect(0, 1);
@@ -299,3 +300,106 @@
     assert!(!fleet.takes(0, &grant(1)));
     assert!(fleet.takes(0, &grant(2)));
 }
+
+const WINDOW: Duration = Duration::from_secs(5);
+
+/// Returns a fleet whose rates count over a window, and which may pass them by a reserve.
+fn reserved(hosts: usize, rate: u32, burst: u32, seed: u64, share: f64) -> Fleet<Granted> {
+    let settings = GrantSettings {
+        window: Some(WINDOW),
+        lease: SECOND,
+        horizon: SECOND / 2,
+        base_share: 0.0,
+        max_wait: Duration::from_millis(40),
+        reserve_share: share,
+        reserve_tokens: if share > 0.0 { 20 } else { 0 },
+        reserve_kept: share,
+        ..GrantSettings::default()
+    };
+    let admission = || Granted::new(settings.clone());
+    let config = config(rate, burst);
+    let mut fleet = Fleet::new(hosts, config, settings.clone(), seed, admission);
+    fleet.elect(0, 1);
+    fleet.advance(10 * SECOND);
+    fleet
+}
+
+/// What all hosts may admit within a window, with the reserve.
+fn allowed(rate: u32, burst: u32, share: f64) -> usize {
+    let all = f64::from(rate) * WINDOW.as_secs_f64() + f64::from(burst);
+    (all * (1.0 + share)) as usize + 20
+}
+
+#[test]
+fn a_workspace_at_its_usual_rate_hardly_notices_a_leader_that_is_gone() {
+    for (hosts, rate, burst) in [(16, 135, 135), (120, 28, 28)] {
+        for seed in SEEDS {
+            let mut refused = [0.0; 2];
+            for (refused, share) in refused.iter_mut().zip([0.0, 0.1]) {
+                let mut fleet = reserved(hosts, rate, burst, seed, share);
+                fleet.load(f64::from(rate) / 1.6, vec![1.0; hosts]);
+                fleet.advance(15 * SECOND);
+                let from = fleet.now();
+                fleet.depose();
+                let all = fleet.control(2) + 1;
+                fleet.cut(0..all, 1);
+                fleet.cut([fleet.control(0)], 2);
+                fleet.advance(SECOND * 3 / 2);
+                fleet.elect(1, 2);
+                fleet.advance(3 * SECOND);
+                *refused = fleet.tally.refused_share(from, from + 2 * SECOND);
+                let most = fleet.tally.most_within(WINDOW);
+                assert!(most <= allowed(rate, burst, share), "seed {seed}: {most}");
+            }
+            println!("hosts {hosts} seed {seed}: refused {refused:?} without and with a reserve");
+            assert!(refused[0] > 0.3, "seed {seed}: the load is too easy");
+            let spared = 1.0 - refused[1] / refused[0];
+            assert!(spared > 0.8, "seed {seed}: only {spared} of them spared");
+        }
+    }
+}
+
+#[test]
+fn no_fault_takes_a_window_over_rate_burst_and_reserve() {
+    for seed in 1..17 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let (rate, burst) = [(400, 200), (100, 100), (30, 30)][seed as usize % 3];
+        let load = [0.6, 1.0, 3.0][rng.random_range(0..3)];
+        let mut fleet = reserved(HOSTS, rate, burst, seed, 0.1);
+        fleet.load(f64::from(rate) * load, vec![1.0; HOSTS]);
+        let mut term = 1;
+        for _ in 0..16 {
+            match rng.random_range(0..5) {
+                0 => {
+                    let from = rng.random_range(0..HOSTS);
+                    let count = rng.random_range(1..HOSTS);
+                    fleet.cut((from..HOSTS).take(count), rng.random_range(1..3));
+                }
+                1 => fleet.cut(0..HOSTS + 3, 0),
+                2 => {
+                    let host = rng.random_range(0..HOSTS);
+                    let time = Duration::from_millis(rng.random_range(100..6000));
+                    fleet.freeze([host], time);
+                }
+                3 => fleet.load(
+                    f64::from(rate) * [0.6, 3.0][rng.random_range(0..2)],
+                    vec![1.0; HOSTS],
+                ),
+                _ => {
+                    let old = fleet.control((term as usize - 1) % 3);
+                    let side = rng.random_range(0..HOSTS);
+                    fleet.depose();
+                    fleet.cut((side..HOSTS).chain([old]), 3);
+                    fleet.advance(Duration::from_millis(600));
+                    term += 1;
+                    fleet.elect((term as usize - 1) % 3, term);
+                }
+            }
+            fleet.advance(Duration::from_millis(rng.random_range(100..5000)));
+        }
+        let most = fleet.tally.most_within(WINDOW);
+        let limit = allowed(rate, burst, 0.1);
+        println!("seed {seed}: rate {rate} load {load}: {most} of {limit} in a window");
+        assert!(most <= limit, "seed {seed}: {most} of {limit}");
+    }
+}
--- a/crates/decide/tests/grant_fleet/faults.rs
+++ b/crates/decide/tests/grant_fleet/faults.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Returns how much time has passed.
+    pub(crate) fn now(&self) -> Duration {
+        self.now
+    }
+
     /// Returns the index of the `nth` control host.
     pub(crate) fn control(&self, nth: usize) -> Index {
         self.entries + nth
--- a/crates/decide/tests/grant_fleet/mod.rs
+++ b/crates/decide/tests/grant_fleet/mod.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use decide::admit::{Admission, Admit};
-use decide::grant::{Allocator, GrantMsg, GrantSettings, Holder};
+use decide::grant::{Allocator, GrantMsg, GrantSettings, Holder, Home};
 use decide::{Cx, Effect, Event, Msg, Settings};
 use model::config::Workspace;
 use model::{CONTROL, Config, HashMap, HostInfo, PartAddr, WorkspaceId};
@@ -167,10 +167,19 @@
     /// Puts a configuration in force everywhere.
     pub(crate) fn configure(&mut self, config: Arc<Config>) {
         self.config = config.clone();
+        let entries = self.hosts.iter().take(self.entries);
+        let home: Vec<HostInfo> = entries.map(|host| host.me.clone()).collect();
         for index in 0..self.hosts.len() {
             self.with(index, |host, cx| {
                 host.allocator.on_config(cx, &config);
-                host.holder.on_config(&config);
+                host.holder.on_config(cx, &config);
+                let hosts = home.iter().map(|host| host.host.clone()).collect();
+                let data_centres = 1;
+                let home = Home {
+                    hosts,
+                    data_centres,
+                };
+                host.holder.set_home(cx, home);
                 host.admission.on_config(&config);
             });
         }
@@ -319,6 +328,8 @@
                     self.with(to, |host, cx| match msg {
                         GrantMsg::Demand(demand) => host.allocator.on_demand(cx, &from, &demand),
                         GrantMsg::Grant(grant) => host.holder.on_grant(cx, &grant),
+                        GrantMsg::Borrow(lot) => host.holder.on_borrow(cx, &from, lot),
+                        GrantMsg::Lent(lot) => host.holder.on_lent(cx, &lot),
                         msg => panic!("unexpected {msg:?}"),
                     });
                 }
--- a/crates/decide/tests/grant_fleet/tally.rs
+++ b/crates/decide/tests/grant_fleet/tally.rs
@@ -30,6 +30,19 @@
         worst
     }
 
+    /// Returns how many requests were admitted in the fullest window.
+    pub(crate) fn most_within(&self, window: Duration) -> usize {
+        let mut first = 0;
+        let mut most = 0;
+        for (count, (at, _)) in self.admitted.iter().enumerate() {
+            while self.admitted[first].0 + window <= *at {
+                first += 1;
+            }
+            most = most.max(count + 1 - first);
+        }
+        most
+    }
+
     /// Returns how many of the requests one bucket for all hosts would refuse at once.
     pub(crate) fn over_rate(&self, rate: u32, burst: u32) -> usize {
         let (mut level, mut last, mut over) = (f64::from(burst), Duration::ZERO, 0);
