entry: send a read that has no answer to another owner too

Ruled out: shorter heartbeats (they cost every host), closing links sooner (frozen hosts have none broken). An owner that leaves a read unanswered is taken last for half a second. Tests: three in route_session; writes are never sent twice.

--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -1,5 +1,6 @@
 //! The entry side: requests of callers on their way to owners, until each has its answer.
 
+pub mod budget;
 pub(crate) mod flight;
 pub(crate) mod pick;
 
@@ -10,6 +11,7 @@
 };
 
 use crate::admit::{Admission, Admit};
+use crate::entry::budget::{Budget, BudgetSettings};
 use crate::entry::flight::{Flight, Flights, backoff, deliver, finish, release, unpin};
 use crate::entry::pick::Router;
 use crate::grant::Feed;
@@ -27,15 +29,17 @@
     router: Router<R>,
     admission: A,
     flights: Flights,
+    budget: Budget,
 }
 
 impl<R: ReadPolicy, A: Admission> Entry<R, A> {
     /// Returns an entry side without requests.
-    pub fn new(admission: A) -> Self {
+    pub fn new(admission: A, hedge: BudgetSettings) -> Self {
         Self {
             router: Router::default(),
             admission,
             flights: Flights::default(),
+            budget: Budget::new(hedge),
         }
     }
 
@@ -109,6 +113,7 @@
             admitted: paid,
             why: Refusal::NoUpstream,
             behind: false,
+            earlier: None,
             may_have_run: false,
         };
         if refusal.is_some() && flight.req.rolls_back {
@@ -161,8 +166,15 @@
         };
         cx.send(place.owner.clone(), RelayMsg::Run(Box::new(run)));
         flight.attempts += 1;
-        flight.at = Some(place);
         flight.timer = flight.deadline + cx.settings.session.answer_grace;
+        if place.pin.is_none() && flight.may_be_hedged() {
+            self.budget.on_request();
+            let hedge_after = cx.settings.session.hedge_after;
+            let hedge_at = hedge_after.map(|after| cx.now + after);
+            let hedge_at = hedge_at.filter(|at| *at < flight.deadline);
+            flight.timer = hedge_at.unwrap_or(flight.timer);
+        }
+        flight.at = Some(place);
         self.flights.insert(id, flight);
     }
 
@@ -234,9 +246,12 @@
         answer: Answer,
         pin: Option<ConnId>,
     ) {
-        let Some(flight) = self.flights.take(id) else {
+        let Some((flight, other)) = self.flights.take_answered(id) else {
             return;
         };
+        if let Some((id, place)) = other {
+            cx.send(place.owner, RelayMsg::Cancel { id });
+        }
         if sessions.get(flight.session).is_none() {
             return unpin(cx, flight.at, pin);
         }
@@ -262,6 +277,9 @@
         id: RequestId,
         why: Bounce,
     ) {
+        if self.flights.forget_earlier(id) {
+            return;
+        }
         let Some(mut flight) = self.flights.take(id) else {
             return;
         };
@@ -363,6 +381,7 @@
         while let Some((id, flight)) = self.flights.take_due(cx.now) {
             match &flight.at {
                 None => self.send(cx, view, sessions, flight),
+                Some(_) if cx.now < flight.deadline => self.hedge(cx, view, sessions, id, flight),
                 Some(place) => {
                     cx.send(place.owner.clone(), RelayMsg::Cancel { id });
                     finish(cx, sessions, flight, Verdict::MayHaveRun);
@@ -371,6 +390,40 @@
         }
     }
 
+    /// Sends a read that has no answer yet to another owner too, if the budget allows.
+    ///
+    /// It answers to owners and upstreams that have gone silent: what cuts them off is known only
+    /// after their heartbeats are missed, and until then reads would wait for their deadlines.
+    fn hedge(
+        &mut self,
+        cx: &mut Cx<'_>,
+        view: &View,
+        sessions: &mut Sessions,
+        id: RequestId,
+        mut flight: Flight,
+    ) {
+        flight.timer = flight.deadline + cx.settings.session.answer_grace;
+        if flight.earlier.is_some() || !self.budget.take() {
+            return self.flights.insert(id, flight);
+        }
+        let Some(place) = flight.at.take() else {
+            return self.flights.insert(id, flight);
+        };
+        let (upstream, owner) = (&place.upstream, &place.owner.host);
+        self.router.skips.slow(cx.now, upstream, owner);
+        cx.note(SessionNote::Hedged {
+            session: flight.session,
+            request: flight.request,
+            label: flight.req.label.clone(),
+            upstream: upstream.clone(),
+            owner: owner.clone(),
+            waited: cx.now.saturating_duration_since(flight.since),
+        });
+        flight.may_have_run = true;
+        flight.earlier = Some((id, place));
+        self.send(cx, view, sessions, flight);
+    }
+
     /// Sends requests that waited for a new view at once.
     pub fn sync(&mut self, cx: &mut Cx<'_>, view: &View, sessions: &mut Sessions) {
         self.router.sync(view);
--- a/crates/decide/src/entry/flight.rs
+++ b/crates/decide/src/entry/flight.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use model::{
-    Answer, ConnId, HashMap, PartAddr, Refusal, Request, RequestId, SessionId, TxStatus,
+    Answer, ConnId, HashMap, Kind, PartAddr, Refusal, Request, RequestId, SessionId, TxStatus,
     UpstreamId, Verdict,
 };
 use rand::Rng;
@@ -45,10 +45,19 @@
     pub(crate) why: Refusal,
     /// Whether a replica was behind, so that the primary is next.
     pub(crate) behind: bool,
+    /// The attempt before this one, which may still be answered.
+    pub(crate) earlier: Option<(RequestId, Place)>,
     /// Whether an attempt may have run, so that "not run" would be no longer true.
     pub(crate) may_have_run: bool,
 }
 
+impl Flight {
+    /// Returns whether a second attempt can do no harm.
+    pub(crate) fn may_be_hedged(&self) -> bool {
+        self.req.repeatable && self.req.kind == Kind::Read && !self.req.transaction
+    }
+}
+
 /// Where a request was sent.
 #[derive(Clone, Debug)]
 pub(crate) struct Place {
@@ -64,6 +73,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Flights {
     all: HashMap<RequestId, Flight>,
+    /// The last attempts of the requests whose earlier ones may still be answered.
+    later: HashMap<RequestId, RequestId>,
     timers: BTreeSet<(Instant, RequestId)>,
     last_id: RequestId,
 }
@@ -91,13 +102,48 @@
     /// Adds a request.
     pub(crate) fn insert(&mut self, id: RequestId, flight: Flight) {
         self.timers.insert((flight.timer, id));
+        if let Some((earlier, _)) = &flight.earlier {
+            self.later.insert(*earlier, id);
+        }
         self.all.insert(id, flight);
     }
 
+    /// Takes out the request that an answer belongs to, as if only that attempt had been made.
+    ///
+    /// Returns the other attempt besides, if there is one.
+    pub(crate) fn take_answered(
+        &mut self,
+        id: RequestId,
+    ) -> Option<(Flight, Option<(RequestId, Place)>)> {
+        if let Some(later) = self.later.remove(&id) {
+            let mut flight = self.take(later)?;
+            let at = flight.at.take().map(|place| (later, place));
+            flight.at = flight.earlier.take().map(|(_, place)| place);
+            return Some((flight, at));
+        }
+        let mut flight = self.take(id)?;
+        let earlier = flight.earlier.take();
+        Some((flight, earlier))
+    }
+
+    /// Forgets an earlier attempt that did not run; returns whether it was one.
+    pub(crate) fn forget_earlier(&mut self, id: RequestId) -> bool {
+        let Some(later) = self.later.remove(&id) else {
+            return false;
+        };
+        if let Some(flight) = self.all.get_mut(&later) {
+            flight.earlier = None;
+        }
+        true
+    }
+
     /// Takes a request out.
     pub(crate) fn take(&mut self, id: RequestId) -> Option<Flight> {
         let flight = self.all.remove(&id)?;
         self.timers.remove(&(flight.timer, id));
+        if let Some((earlier, _)) = &flight.earlier {
+            self.later.remove(earlier);
+        }
         Some(flight)
     }
 
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -28,7 +28,6 @@
 pub mod queue;
 pub mod raft;
 pub mod relay;
-pub mod retry;
 pub mod route;
 pub mod session;
 pub mod settings;
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -13,6 +13,9 @@
 /// How long an upstream that could not be reached gets no requests.
 const SKIP_UNAVAILABLE: Duration = Duration::from_millis(250);
 
+/// How long an owner that left a read unanswered is taken only if there is no other.
+const SKIP_SLOW: Duration = Duration::from_millis(500);
+
 /// Picks the upstream for a read.
 pub trait ReadPolicy: Default {
     /// Returns an upstream out of the candidates, with the reason for the log.
@@ -86,6 +89,7 @@
 pub struct Skips {
     behind: HashMap<UpstreamId, Instant>,
     unavailable: HashMap<(UpstreamId, HostId), Instant>,
+    slow: HashMap<(UpstreamId, HostId), Instant>,
 }
 
 impl Skips {
@@ -100,10 +104,23 @@
         self.unavailable.insert(pair, now + SKIP_UNAVAILABLE);
     }
 
+    /// Notes that an owner has left a read on an upstream unanswered.
+    pub fn slow(&mut self, now: Instant, upstream: &UpstreamId, owner: &HostId) {
+        let pair = (upstream.clone(), owner.clone());
+        self.slow.insert(pair, now + SKIP_SLOW);
+    }
+
+    fn is_slow(&self, now: Instant, upstream: &UpstreamId, owner: &HostId) -> bool {
+        // Few pairs are slow at a time, so that no key has to be made to look.
+        let mut slow = self.slow.iter();
+        slow.any(|((id, host), until)| id == upstream && host == owner && now < *until)
+    }
+
     /// Forgets a moment that has passed.
     pub fn expire(&mut self, now: Instant) {
         self.behind.retain(|_, until| *until > now);
         self.unavailable.retain(|_, until| *until > now);
+        self.slow.retain(|_, until| *until > now);
     }
 
     fn is_behind(&self, now: Instant, upstream: &UpstreamId) -> bool {
@@ -129,7 +146,7 @@
             let up = view.upstreams.get(*id);
             primary == Some(*id) || up.is_some_and(|up| !up.announcement.draining)
         };
-        service
+        let mut usable: Vec<&UpstreamId> = service
             .upstreams
             .iter()
             .filter(stays)
@@ -138,7 +155,16 @@
                 let up = view.upstreams.get(*id);
                 up.is_some_and(|up| self.any_owner(now, view, up))
             })
-            .collect()
+            .collect();
+        let answers = |id: &&UpstreamId| {
+            let owners = view.upstreams.get(*id).map(|up| &up.owners);
+            let mut owners = owners.into_iter().flatten();
+            owners.any(|owner| !self.is_slow(now, id, owner))
+        };
+        if !self.slow.is_empty() && usable.iter().any(answers) {
+            usable.retain(answers);
+        }
+        usable
     }
 
     fn any_owner(&self, now: Instant, view: &View, up: &UpstreamView) -> bool {
@@ -160,10 +186,14 @@
         let live = |host: &&HostId| {
             view.hosts.contains_key(*host) && !self.is_unavailable(now, upstream, host)
         };
-        let owners: Vec<&HostId> = up.owners.iter().filter(live).collect();
+        let mut owners: Vec<&HostId> = up.owners.iter().filter(live).collect();
         if owners.is_empty() {
             return None;
         }
+        let answers = |host: &&HostId| !self.is_slow(now, upstream, host);
+        if !self.slow.is_empty() && owners.iter().any(answers) {
+            owners.retain(answers);
+        }
         let nth = cx.rng.random_range(0..owners.len());
         let host = view.hosts.get(owners[nth])?;
         Some(PartAddr {
--- a/crates/decide/src/session.rs
+++ b/crates/decide/src/session.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::caller::Login;
+use crate::entry::budget::BudgetSettings;
 use crate::note::Numbered;
 use crate::{Cx, Effect, View};
 
@@ -29,6 +30,11 @@
     /// How long the entry host waits past a deadline for an owner's answer.
     #[serde(with = "humantime_serde")]
     pub answer_grace: Duration,
+    /// How long a read may go unanswered before it is sent to another owner too, if at all.
+    #[serde(with = "humantime_serde")]
+    pub hedge_after: Option<Duration>,
+    /// How many reads may be sent a second time.
+    pub hedge: BudgetSettings,
 }
 
 impl Default for SessionSettings {
@@ -37,6 +43,8 @@
             request_timeout: Duration::from_secs(5),
             default_max_age: Duration::from_secs(10),
             answer_grace: Duration::from_millis(250),
+            hedge_after: None,
+            hedge: BudgetSettings::default(),
         }
     }
 }
@@ -371,6 +379,21 @@
         /// Why it waits.
         refusal: Refusal,
     },
+    /// A read without an answer was sent to another owner too.
+    Hedged {
+        /// The session.
+        session: SessionId,
+        /// The request.
+        request: RequestId,
+        /// The caller's own id of it.
+        label: Arc<str>,
+        /// The upstream that has not answered.
+        upstream: UpstreamId,
+        /// The owner that has not answered.
+        owner: HostId,
+        /// How long the request has been there.
+        waited: Duration,
+    },
     /// A request was answered without having certainly run.
     Answered {
         /// The session.
@@ -412,6 +435,7 @@
             Self::Routed { .. } => 100,
             Self::Parked { .. } => 101,
             Self::Answered { .. } => 102,
+            Self::Hedged { .. } => 103,
             Self::Login { .. } => 110,
             Self::Ended { .. } => 111,
         }
@@ -461,6 +485,18 @@
                 "answered session={session} request={request} id={label} workspace={workspace} waited_ms={} verdict={verdict:?}",
                 waited.as_millis()
             ),
+            Self::Hedged {
+                session,
+                request,
+                label,
+                upstream,
+                owner,
+                waited,
+            } => write!(
+                f,
+                "hedged session={session} request={request} id={label} upstream={upstream} owner={owner} waited_ms={}",
+                waited.as_millis()
+            ),
             Self::Login {
                 session,
                 workspace,
--- a/crates/decide/src/traffic.rs
+++ b/crates/decide/src/traffic.rs
@@ -35,7 +35,10 @@
         Self {
             view: Arc::default(),
             sessions: Sessions::default(),
-            entry: Entry::new(Granted::new(settings.grant.clone())),
+            entry: Entry::new(
+                Granted::new(settings.grant.clone()),
+                settings.session.hedge.clone(),
+            ),
             owners: Owners::default(),
             commits: Commits::default(),
             leaving: false,
--- a/crates/decide/tests/route_session.rs
+++ b/crates/decide/tests/route_session.rs
@@ -325,3 +325,109 @@
     };
     assert!(sent.iter().any(refused), "{sent:?}");
 }
+
+/// Returns a world in which two owners can read, and a read that is slow is sent to both.
+fn world_that_hedges(burst: f64) -> World {
+    let mut world = World::new();
+    let mut settings = Settings::default();
+    settings.session.hedge_after = Some(Duration::from_millis(150));
+    settings.session.hedge.burst = burst;
+    let traffic = Traffic::new(&settings);
+    let part = Part::Traffic(Box::new(traffic));
+    world.state = State::new(host("h1"), 1, settings, 1, part);
+    world.view.hosts.insert("h3".into(), host("h3"));
+    let up = world.view.upstreams.get_mut("i1").unwrap();
+    up.owners = vec!["h2".into(), "h3".into()];
+    world.show();
+    assert_eq!(world.login("pots", ""), None);
+    world
+}
+
+/// Lets a time pass and returns what was sent to whom then.
+fn after(world: &mut World, time: Duration) -> Vec<(PartAddr, RelayMsg)> {
+    world.now += time;
+    world.on(Event::Tick);
+    relayed(world)
+}
+
+fn relayed(world: &mut World) -> Vec<(PartAddr, RelayMsg)> {
+    let sent = world.effects.drain(..).filter_map(|effect| match effect {
+        Effect::Send {
+            to,
+            msg: Msg::Relay(msg),
+        } => Some((to, msg)),
+        _ => None,
+    });
+    sent.collect()
+}
+
+fn run_of(sent: &[(PartAddr, RelayMsg)]) -> (PartAddr, Run) {
+    let run = sent.iter().find_map(|(to, msg)| match msg {
+        RelayMsg::Run(run) => Some((to.clone(), Run::clone(run))),
+        _ => None,
+    });
+    run.expect("something was sent to run")
+}
+
+fn answer_from(world: &mut World, (from, run): &(PartAddr, Run)) -> usize {
+    let answer = Answer {
+        verdict: Verdict::Ran,
+        payload: Bytes::new(),
+        tx: TxStatus::Idle,
+        position: None,
+    };
+    let (id, pin) = (run.id, None);
+    let msg = Msg::Relay(RelayMsg::Answer { id, answer, pin });
+    let from = from.clone();
+    world.on(Event::Peer { from, msg });
+    let answers = world.effects.iter();
+    let answers = answers.filter(|effect| matches!(effect, Effect::Answer { .. }));
+    answers.count()
+}
+
+#[test]
+fn a_read_that_a_silent_owner_holds_is_answered_by_another() {
+    for late_one_first in [false, true] {
+        let mut world = world_that_hedges(20.0);
+        world.request(|req| req.repeatable = true);
+        let first = run_of(&relayed(&mut world));
+        assert!(after(&mut world, Duration::from_millis(100)).is_empty());
+        let second = run_of(&after(&mut world, Duration::from_millis(50)));
+        assert_ne!(first.0, second.0, "the same owner was asked again");
+        let (one, other) = if late_one_first {
+            (&first, &second)
+        } else {
+            (&second, &first)
+        };
+        assert_eq!(answer_from(&mut world, one), 1);
+        let cancelled = relayed(&mut world).iter().any(|(to, msg)| {
+            *to == other.0 && matches!(msg, RelayMsg::Cancel { id } if *id == other.1.id)
+        });
+        assert!(cancelled, "the other attempt goes on");
+        assert_eq!(answer_from(&mut world, other), 0, "a second answer");
+    }
+}
+
+#[test]
+fn a_write_is_never_sent_a_second_time() {
+    let mut world = world_that_hedges(20.0);
+    world.request(|req| req.kind = Kind::Write);
+    run_of(&relayed(&mut world));
+    for _ in 0..8 {
+        let sent = after(&mut world, Duration::from_millis(50));
+        assert!(sent.is_empty(), "{sent:?}");
+    }
+}
+
+#[test]
+fn reads_are_sent_a_second_time_only_within_a_budget() {
+    let mut world = world_that_hedges(1.0);
+    for hedged in [true, false] {
+        world.request(|req| req.repeatable = true);
+        let first = run_of(&relayed(&mut world));
+        let sent = after(&mut world, Duration::from_millis(150));
+        assert_eq!(!sent.is_empty(), hedged);
+        assert_eq!(answer_from(&mut world, &first), 1);
+        world.effects.clear();
+    }
+}
