--- a/crates/carawayd/tests/fleet/relay.rs
+++ b/crates/carawayd/tests/fleet/relay.rs
@@ -25,6 +25,7 @@
 pub(crate) struct Relay {
     pub(crate) addr: SocketAddr,
     mode: watch::Sender<Mode>,
+    to: watch::Sender<SocketAddr>,
     _tasks: JoinSet<()>,
 }
 
@@ -35,21 +36,32 @@
         let addr = listener.local_addr().unwrap();
         let (mode, seen) = watch::channel(Mode::Pass);
         let mut tasks = JoinSet::new();
-        tasks.spawn(accept(listener, to, seen));
+        let (to, target) = watch::channel(to);
+        tasks.spawn(accept(listener, target, seen));
         Self {
             addr,
             mode,
+            to,
             _tasks: tasks,
         }
     }
 
+    /// Changes where new connections go.
+    pub(crate) fn lead_to(&self, to: SocketAddr) {
+        self.to.send_replace(to);
+    }
+
     /// Changes what the relay does.
     pub(crate) fn set(&self, mode: Mode) {
         self.mode.send_replace(mode);
     }
 }
 
-async fn accept(listener: TcpListener, to: SocketAddr, mode: watch::Receiver<Mode>) {
+async fn accept(
+    listener: TcpListener,
+    to: watch::Receiver<SocketAddr>,
+    mode: watch::Receiver<Mode>,
+) {
     let mut pairs = JoinSet::new();
     loop {
         let Ok((near, _)) = listener.accept().await else {
@@ -58,6 +70,7 @@
         if *mode.borrow() == Mode::Cut {
             continue;
         }
+        let to = *to.borrow();
         let Ok(far) = TcpStream::connect(to).await else {
             continue;
         };
