--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -2,6 +2,7 @@
 
 pub mod budget;
 pub(crate) mod flight;
+mod hedge;
 pub(crate) mod pick;
 
 use std::time::Instant;
@@ -390,40 +391,6 @@
         }
     }
 
-    /// Sends a read that has no answer yet to another owner too, if the budget allows.
-    ///
-    /// It answers to owners and upstreams that have gone silent: what cuts them off is known only
-    /// after their heartbeats are missed, and until then reads would wait for their deadlines.
-    fn hedge(
-        &mut self,
-        cx: &mut Cx<'_>,
-        view: &View,
-        sessions: &mut Sessions,
-        id: RequestId,
-        mut flight: Flight,
-    ) {
-        flight.timer = flight.deadline + cx.settings.session.answer_grace;
-        if flight.earlier.is_some() || !self.budget.take() {
-            return self.flights.insert(id, flight);
-        }
-        let Some(place) = flight.at.take() else {
-            return self.flights.insert(id, flight);
-        };
-        let (upstream, owner) = (&place.upstream, &place.owner.host);
-        self.router.skips.slow(cx.now, upstream, owner);
-        cx.note(SessionNote::Hedged {
-            session: flight.session,
-            request: flight.request,
-            label: flight.req.label.clone(),
-            upstream: upstream.clone(),
-            owner: owner.clone(),
-            waited: cx.now.saturating_duration_since(flight.since),
-        });
-        flight.may_have_run = true;
-        flight.earlier = Some((id, place));
-        self.send(cx, view, sessions, flight);
-    }
-
     /// Sends requests that waited for a new view at once.
     pub fn sync(&mut self, cx: &mut Cx<'_>, view: &View, sessions: &mut Sessions) {
         self.router.sync(view);
--- a/crates/decide/src/grant.rs
+++ b/crates/decide/src/grant.rs
@@ -8,6 +8,7 @@
 pub(crate) mod alloc;
 pub(crate) mod base;
 pub(crate) mod book;
+pub(crate) mod borrow;
 pub(crate) mod hold;
 pub(crate) mod leader;
 pub(crate) mod recent;
--- a/crates/decide/src/grant/hold.rs
+++ b/crates/decide/src/grant/hold.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use model::clock::{CLOCK_RATE_MARGIN_PER_MILLE, holder_lease};
-use model::{Config, HashMap, HostId, PartAddr, PartId, WorkspaceId};
+use model::{Config, HashMap, HostId, PartId, WorkspaceId};
 
 use crate::grant::base::{BaseShare, Seat, base_share};
 use crate::grant::stock::Stock;
@@ -25,34 +25,25 @@
 
 /// How often requests that wait look at the base share.
 const BASE_STEP: Duration = Duration::from_millis(20);
-/// How long the leader may leave a demand unanswered before the reserve is used.
-///
-/// Several trips between data centres, and less than a request may wait for a token.
-const RESERVE_AFTER: Duration = Duration::from_millis(15);
-/// How long tokens of the reserve may be used once they are with a traffic part.
-const RESERVE_HOLDS: Duration = Duration::from_millis(100);
-/// How often the keeper of a reserve is asked for more.
-const BORROW_EVERY: Duration = Duration::from_millis(10);
-
 /// The tokens that a host holds, in its control part.
 #[derive(Debug, Default)]
 pub struct Holder {
-    leader: Option<HostId>,
+    pub(super) leader: Option<HostId>,
     /// The highest term of a leader that is known; grants of lower ones are not taken.
     term: u64,
-    config: Arc<Config>,
+    pub(super) config: Arc<Config>,
     /// This host's seat and until when it may be relied on.
     seat: Option<(Seat, Instant)>,
     /// The tokens by workspace.
-    stocks: HashMap<WorkspaceId, Stock>,
+    pub(super) stocks: HashMap<WorkspaceId, Stock>,
     /// When the tokens run out.
-    until: Option<Instant>,
+    pub(super) until: Option<Instant>,
     /// The hosts that share reserves with this one.
-    home: Home,
+    pub(super) home: Home,
     /// When the reserve runs out.
-    reserve_until: Option<Instant>,
+    pub(super) reserve_until: Option<Instant>,
     /// Whether the reserve is in use.
-    on_reserve: bool,
+    pub(super) on_reserve: bool,
     /// When this host was first seen to run.
     since: Option<Instant>,
     /// From when the base shares may be used.
@@ -67,7 +58,7 @@
     /// Whether the last demand has been answered.
     answered: bool,
     /// When the first demand after the last grant was sent.
-    asked_since: Option<Instant>,
+    pub(super) asked_since: Option<Instant>,
     /// How many grants in a row have left requests waiting.
     short: u32,
     /// Whether requests wait, or tokens were used or given back, since the last demand.
@@ -194,122 +185,6 @@
         self.reschedule(cx);
     }
 
-    /// Takes in reserves from the leader.
-    fn take_reserve(&mut self, cx: &Cx<'_>, grant: &Grant, sent_at: Instant) {
-        self.on_reserve = false;
-        self.reserve_until = Some(sent_at + holder_lease(grant.reserve_lease));
-        for stock in self.stocks.values_mut() {
-            stock.reserve.answered(grant.demand);
-        }
-        if self.reserve_until <= Some(cx.now) {
-            return;
-        }
-        for lot in grant.lots.iter().filter(|lot| lot.reserve > 0) {
-            let stock = self.stocks.entry(lot.workspace.clone()).or_default();
-            stock.reserve.add(lot.reserve);
-        }
-    }
-
-    /// Follows which hosts share reserves with this one.
-    pub fn set_home(&mut self, cx: &Cx<'_>, home: Home) {
-        if self.home != home {
-            self.home = home;
-            self.set_targets(cx);
-        }
-    }
-
-    /// Works out which reserves this host keeps.
-    fn set_targets(&mut self, cx: &Cx<'_>) {
-        let settings = &cx.settings.grant;
-        for (workspace, cfg) in &self.config.workspaces {
-            let reserve = settings.reserve_of(cfg);
-            if reserve == 0 {
-                continue;
-            }
-            let keeps = self.home.keeper(workspace) == Some(&cx.me.host);
-            let target = if keeps { self.home.part(reserve) } else { 0 };
-            if keeps || self.stocks.contains_key(workspace) {
-                let stock = self.stocks.entry(workspace.clone()).or_default();
-                stock.reserve.target = target;
-            }
-        }
-    }
-
-    /// Uses the reserves for requests that wait, if the leader does not answer.
-    fn use_reserve(&mut self, cx: &mut Cx<'_>) {
-        let unanswered = self.unanswered(cx.now);
-        if self.leader.is_some() && unanswered < RESERVE_AFTER {
-            return;
-        }
-        let mut feeds: HashMap<PartId, Vec<Lot>> = HashMap::default();
-        for (workspace, stock) in &mut self.stocks {
-            for (part, tokens) in stock.draw_reserve(cx.now) {
-                let workspace = workspace.clone();
-                let lots = feeds.entry(part).or_default();
-                lots.push(Lot { workspace, tokens });
-            }
-            let need = stock.need();
-            let asked = stock.reserve.borrowed_at;
-            let asked = asked.is_some_and(|at| cx.now < at + BORROW_EVERY);
-            let keeper = self.home.keeper(workspace).filter(|_| need > 0 && !asked);
-            if let Some(keeper) = keeper.filter(|keeper| **keeper != cx.me.host) {
-                stock.reserve.borrowed_at = Some(cx.now);
-                let workspace = workspace.clone();
-                let tokens = need;
-                cx.send_control(keeper, GrantMsg::Borrow(Lot { workspace, tokens }));
-            }
-        }
-        if !feeds.is_empty() {
-            self.note_reserve(cx);
-            self.until.get_or_insert(cx.now + RESERVE_HOLDS);
-            self.feed_all(cx, feeds);
-        }
-    }
-
-    fn note_reserve(&mut self, cx: &mut Cx<'_>) {
-        if !std::mem::replace(&mut self.on_reserve, true) {
-            let unanswered = self.unanswered(cx.now);
-            let left = self.stocks.values().map(|stock| stock.reserve.left()).sum();
-            cx.note(GrantNote::ReserveUsed { unanswered, left });
-        }
-    }
-
-    /// Lends tokens of a reserve that this host keeps.
-    pub fn on_borrow(&mut self, cx: &mut Cx<'_>, from: &PartAddr, lot: Lot) {
-        self.expire(cx);
-        let Some(stock) = self.stocks.get_mut(&lot.workspace) else {
-            return;
-        };
-        let tokens = stock.reserve.draw(cx.now + RESERVE_HOLDS, lot.tokens);
-        if tokens > 0 {
-            let workspace = lot.workspace;
-            cx.send(from.clone(), GrantMsg::Lent(Lot { workspace, tokens }));
-        }
-    }
-
-    /// Takes tokens that the keeper of a reserve has lent.
-    pub fn on_lent(&mut self, cx: &mut Cx<'_>, lot: &Lot) {
-        self.expire(cx);
-        let Some(stock) = self.stocks.get_mut(&lot.workspace) else {
-            return;
-        };
-        let mut feeds: HashMap<PartId, Vec<Lot>> = HashMap::default();
-        for (part, tokens) in stock.add(lot.tokens) {
-            let workspace = lot.workspace.clone();
-            feeds.insert(part, vec![Lot { workspace, tokens }]);
-        }
-        self.note_reserve(cx);
-        self.until.get_or_insert(cx.now + RESERVE_HOLDS);
-        self.feed_all(cx, feeds);
-        self.reschedule(cx);
-    }
-
-    /// Returns for how long the leader has left demands unanswered.
-    fn unanswered(&self, now: Instant) -> Duration {
-        let since = self.asked_since;
-        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
-    }
-
     /// Leaves the base shares unused for longer than the leader relies on it.
     fn rest_base(&mut self, cx: &Cx<'_>, lease: Duration) {
         let margin = lease * 2 * CLOCK_RATE_MARGIN_PER_MILLE / 1000;
@@ -330,7 +205,7 @@
     }
 
     /// Forgets the tokens once they have run out.
-    fn expire(&mut self, cx: &Cx<'_>) {
+    pub(super) fn expire(&mut self, cx: &Cx<'_>) {
         if self.until.take_if(|until| *until <= cx.now).is_some() {
             self.stocks.values_mut().for_each(Stock::expire);
         }
@@ -379,7 +254,7 @@
     }
 
     /// Sends tokens to the traffic parts, and to all of them until when they may use theirs.
-    fn feed_all(&self, cx: &mut Cx<'_>, mut feeds: HashMap<PartId, Vec<Lot>>) {
+    pub(super) fn feed_all(&self, cx: &mut Cx<'_>, mut feeds: HashMap<PartId, Vec<Lot>>) {
         for part in model::FIRST_TRAFFIC..=cx.me.traffic_parts {
             let lots = feeds.remove(&part).unwrap_or_default();
             self.feed(cx, part, lots);
@@ -470,15 +345,14 @@
     }
 
     /// Works out when something is due next.
-    fn reschedule(&mut self, cx: &Cx<'_>) {
+    pub(super) fn reschedule(&mut self, cx: &Cx<'_>) {
         let settings = &cx.settings.grant;
         let demand = self.demand_at(settings.report_every, settings.lease);
         let demand = self.leader.as_ref().map(|_| demand.unwrap_or(cx.now));
         let waits = self.stocks.values().any(|stock| stock.need() > 0);
         let base = self.seat.filter(|_| waits).and(self.base_from);
         let base = base.map(|from| from.max(cx.now + BASE_STEP));
-        let reserve = self.asked_since.filter(|_| waits);
-        let reserve = reserve.map(|since| (since + RESERVE_AFTER).max(cx.now + BORROW_EVERY));
+        let reserve = self.reserve_at(cx.now).filter(|_| waits);
         let ends = [self.until, self.reserve_until];
         let all = [demand, base, reserve].into_iter().chain(ends);
         self.wake_at = all.flatten().min();
--- a/crates/decide/src/traffic.rs
+++ b/crates/decide/src/traffic.rs
@@ -78,11 +78,11 @@
                 .on_feed(cx, &self.view, &mut self.sessions, &feed),
             Event::AwaitCommit(wait) => self.await_commit(cx, wait),
             Event::Told { id, result } => {
-                if self.owners.on_told(cx, id, &result) {
-                    return;
+                // Owners' own questions concern no commit.
+                if !self.owners.on_told(cx, id, &result) {
+                    let resolved = self.commits.on_told(cx, id, result);
+                    self.resolve(cx, resolved);
                 }
-                let resolved = self.commits.on_told(cx, id, result);
-                self.resolve(cx, resolved);
             }
             Event::View(view) => self.sync(cx, view),
             Event::Leave => self.leave(cx),
--- a/crates/host/tests/settings_doc.rs
+++ b/crates/host/tests/settings_doc.rs
@@ -9,9 +9,10 @@
 
 const DOCUMENT: &str = include_str!("../../../docs/SETTINGS.md");
 /// The files that declare settings.
-const SOURCES: [&str; 8] = [
+const SOURCES: [&str; 9] = [
     include_str!("../src/settings.rs"),
     include_str!("../../decide/src/session.rs"),
+    include_str!("../../decide/src/entry/budget.rs"),
     include_str!("../../decide/src/owner/settings.rs"),
     include_str!("../../decide/src/breaker.rs"),
     include_str!("../../decide/src/group/settings.rs"),
@@ -89,6 +90,7 @@
     cfg.listen.platform = Some("127.0.0.1:2".parse().unwrap());
     cfg.orders.address = Some("127.0.0.1:3".parse().unwrap());
     cfg.grant.window = Some(std::time::Duration::from_secs(5));
+    cfg.session.hedge_after = Some(std::time::Duration::from_millis(150));
     cfg.spread.revoke_within = Some(std::time::Duration::from_secs(5));
     cfg
 }
