spread: send a large change from one parent only at first

Ruled out: a host without a parent (its sessions were served throughout). Change: of the parents only the first by rendezvous sends an update of more than 64 entries at once; the others send it to who still lacks it after a second.

--- a/crates/decide/src/spread/delta.rs
+++ b/crates/decide/src/spread/delta.rs
@@ -40,6 +40,17 @@
         self.base == version
     }
 
+    /// Returns how many entries it changes.
+    pub fn len(&self) -> usize {
+        let limits = self.workspaces.len() + self.services.len();
+        limits + self.open_routes.len() + self.routes.len()
+    }
+
+    /// Returns whether it changes nothing but the version.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Applies it to a configuration that it fits.
     pub fn apply(&self, config: &mut Config) {
         config.version = self.version;
--- a/crates/decide/src/spread/msg.rs
+++ b/crates/decide/src/spread/msg.rs
@@ -117,4 +117,12 @@
             Self::Delta(delta) => delta.version,
         }
     }
+
+    /// Returns whether it has more entries than a number.
+    pub fn is_large(&self, entries: usize) -> bool {
+        match self {
+            Self::Whole(config) => config.routes.len() + config.workspaces.len() > entries,
+            Self::Delta(delta) => delta.len() > entries,
+        }
+    }
 }
--- a/crates/decide/src/spread/push.rs
+++ b/crates/decide/src/spread/push.rs
@@ -8,11 +8,15 @@
 use crate::spread::Spread;
 use crate::spread::msg::{ConfigState, ConfigUpdate, SpreadMsg};
 use crate::spread::note::SpreadNote;
+use crate::spread::tree;
 use crate::spread::versions::HostVersion;
 
 /// How long an update may be on its way before it is sent again.
 const RESEND_AFTER: Duration = Duration::from_secs(1);
 
+/// From how many changed entries on an update comes from one parent only at first; some 6 KB.
+const LARGE_UPDATE: usize = 64;
+
 impl Spread {
     /// Takes an update of the configuration.
     pub(crate) fn on_update(&mut self, cx: &mut Cx<'_>, from: &HostId, update: ConfigUpdate) {
@@ -93,6 +97,8 @@
 
     /// Sends a host what it lacks of the configuration.
     fn push_config(&mut self, cx: &mut Cx<'_>, host: &HostId) {
+        let recent = cx.now < self.config_since + RESEND_AFTER;
+        let waits = recent && !self.pushes_first(host);
         let Some(link) = self.links.get_mut(host) else {
             return;
         };
@@ -102,10 +108,35 @@
         let Some(update) = self.config.update_since(theirs) else {
             return;
         };
+        // Twice over, a large update would fill the child's link and this host's own for seconds.
+        if waits && update.is_large(LARGE_UPDATE) {
+            return;
+        }
         link.config_sent = Some((update.version(), cx.now));
         cx.send_control(host, SpreadMsg::Config(Box::new(update)));
     }
 
+    /// Returns whether this host is the parent that sends large updates to a host at once.
+    ///
+    /// The other parents send them to hosts that still lack them after a while.
+    fn pushes_first(&self, host: &HostId) -> bool {
+        let home = self.facts.host(host);
+        let home = home.is_some_and(|(info, _)| info.data_centre == self.me.data_centre);
+        let parents = if home && !self.me.control {
+            self.tree.parents(host)
+        } else {
+            let others = self
+                .controls
+                .iter()
+                .filter(|host| self.links.contains_key(*host));
+            tree::best(host, others.chain(self.me.control.then_some(&self.me.host)))
+        };
+        let first = parents
+            .iter()
+            .find(|parent| !self.missed.contains_key(*parent));
+        first.is_none_or(|first| *first == self.me.host)
+    }
+
     /// Takes versions in force on hosts below another.
     pub(crate) fn on_versions(&mut self, rows: &[HostVersion]) {
         for row in rows.iter().filter(|row| row.host != self.me.host) {
--- a/crates/decide/tests/spread_fleet.rs
+++ b/crates/decide/tests/spread_fleet.rs
@@ -218,3 +218,40 @@
         assert!(took.is_some_and(|took| took < 6 * SECOND));
     }
 }
+
+/// A large change must not be sent to each host by all of its parents.
+#[test]
+fn a_large_change_comes_to_each_host_about_once() {
+    for seed in 0..4 {
+        let mut net = Net::with_hosts(140, 4, seed, |info| info.entry = !info.control);
+        net.settings.spread.relay_fanout = 8;
+        settle(&mut net);
+        let mut config = model::Config::clone(&net.config);
+        config.version += 1;
+        let version = config.version;
+        for number in 0..1000 {
+            let workspace = model::config::Workspace {
+                rate: 10,
+                burst: 10,
+                services: vec![format!("service-{number}").into()],
+                keys: Default::default(),
+            };
+            let name = format!("workspace-{number}");
+            config.workspaces.insert(name.into(), workspace);
+        }
+        let size = postcard::to_stdvec(&config).unwrap().len() as u64;
+        net.count_bytes = true;
+        net.sent.clear();
+        net.commit(config);
+        let all = net.hosts();
+        let took = net.run_until(5 * SECOND, |net| net.all_in_force(&all, version));
+        let bytes = net.traffic().bytes;
+        let times = bytes as f64 / (size * all.len() as u64) as f64;
+        println!("seed={seed} in_force={took:?} times={times:.2}");
+        assert!(took.is_some());
+        assert!(
+            times < 1.5,
+            "{times} times the size of the change for each host"
+        );
+    }
+}
