--- a/crates/decide/tests/route_session.rs
+++ b/crates/decide/tests/route_session.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use decide::caller::{CallerEvent, Login};
-use decide::relay::{RelayMsg, Run};
+use decide::relay::{Bounce, RelayMsg, Run};
 use decide::state::Part;
 use decide::traffic::Traffic;
 use decide::view::{ServiceView, UpstreamView};
@@ -431,3 +431,34 @@
         world.effects.clear();
     }
 }
+
+/// While no primary is known, a read that its replicas are too far behind for must wait its turn.
+#[test]
+fn a_read_that_every_replica_turns_away_is_not_sent_again_at_once() {
+    let mut world = World::new();
+    let config = Arc::make_mut(&mut world.view.config);
+    let route = config.routes.get_mut("pots").unwrap();
+    route.reads = ReadRule::Bounded {
+        max_age: Duration::from_secs(1),
+    };
+    let service = world.view.services.get_mut("ledger").unwrap();
+    service.primary = None;
+    let instances = service.upstreams.len();
+    world.show();
+    assert_eq!(world.login("pots", ""), None);
+    world.request(|req| req.repeatable = true);
+    let mut sent = 0;
+    for _ in 0..20 {
+        let msgs = relayed(&mut world);
+        if !msgs.iter().any(|(_, msg)| matches!(msg, RelayMsg::Run(_))) {
+            break;
+        }
+        sent += 1;
+        let (from, run) = run_of(&msgs);
+        let why = Bounce::Behind;
+        let msg = Msg::Relay(RelayMsg::Bounce { id: run.id, why });
+        world.on(Event::Peer { from, msg });
+    }
+    // Once to each instance, and once more since the first answer may be old.
+    assert!(sent <= instances + 1, "sent {sent} times at one moment");
+}
