--- a/crates/decide/tests/grant.rs
+++ b/crates/decide/tests/grant.rs
@@ -109,6 +109,18 @@
     }
 }
 
+/// Elects the next leader; the old one goes on with the hosts that it can reach.
+fn change_leader(fleet: &mut Fleet<Granted>, rng: &mut SmallRng, term: &mut u64) {
+    let nth = |term: u64| (term as usize - 1) % 3;
+    let old = fleet.control(nth(*term));
+    let side = rng.random_range(0..HOSTS);
+    fleet.depose();
+    fleet.cut((side..HOSTS).chain([old]), 3);
+    fleet.advance(Duration::from_millis(600));
+    *term += 1;
+    fleet.elect(nth(*term), *term);
+}
+
 #[test]
 fn no_fault_takes_the_sum_over_the_rate() {
     for seed in 1..13 {
@@ -126,16 +138,7 @@
                 }
                 1 => fleet.cut(0..HOSTS + 3, 0),
                 2 => fleet.kill(rng.random_range(0..HOSTS)),
-                _ => {
-                    // The old leader goes on with the hosts that it can reach.
-                    let old = fleet.control((term as usize - 1) % 3);
-                    let side = rng.random_range(0..HOSTS);
-                    fleet.depose();
-                    fleet.cut((side..HOSTS).chain([old]), 3);
-                    fleet.advance(Duration::from_millis(600));
-                    term += 1;
-                    fleet.elect((term as usize - 1) % 3, term);
-                }
+                _ => change_leader(&mut fleet, &mut rng, &mut term),
             }
             fleet.advance(Duration::from_millis(rng.random_range(100..5000)));
         }
@@ -404,15 +407,7 @@
                     f64::from(rate) * [0.6, 3.0][rng.random_range(0..2)],
                     vec![1.0; HOSTS],
                 ),
-                _ => {
-                    let old = fleet.control((term as usize - 1) % 3);
-                    let side = rng.random_range(0..HOSTS);
-                    fleet.depose();
-                    fleet.cut((side..HOSTS).chain([old]), 3);
-                    fleet.advance(Duration::from_millis(600));
-                    term += 1;
-                    fleet.elect((term as usize - 1) % 3, term);
-                }
+                _ => change_leader(&mut fleet, &mut rng, &mut term),
             }
             fleet.advance(Duration::from_millis(rng.random_range(100..5000)));
         }
