--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -108,6 +108,7 @@
             let seen = view.upstreams.get(&upstream.id);
             upstream.live = seen.is_some();
             upstream.owned = seen.is_some_and(|seen| seen.owners.contains(&cx.me.host));
+            upstream.draining = seen.is_some_and(|seen| seen.announcement.draining);
             upstream.update_primary(view);
             if let Some(seen) = seen
                 && cx.settings.owner.capacity == CapacitySource::Announced
--- a/crates/decide/src/owner/dispatch.rs
+++ b/crates/decide/src/owner/dispatch.rs
@@ -193,6 +193,7 @@
             request,
             conn,
             reason,
+            draining: self.draining,
         });
         let wait_for = wait_for.map(|(position, wait)| (position, wait.min(timeout)));
         cx.emit(Effect::RunOnConn {
--- a/crates/decide/src/owner/log_event.rs
+++ b/crates/decide/src/owner/log_event.rs
@@ -26,6 +26,8 @@
         conn: ConnId,
         /// How the connection was chosen: `transaction` (pinned) or `free`.
         reason: &'static str,
+        /// Whether the upstream has announced that it drains.
+        draining: bool,
     },
     /// A request was refused; it did not run.
     Refused {
@@ -154,9 +156,11 @@
                 request,
                 conn,
                 reason,
-            } => {
-                write!(f, "dispatched {request} conn={conn} reason={reason}")
-            }
+                draining,
+            } => write!(
+                f,
+                "dispatched {request} conn={conn} reason={reason} draining={draining}"
+            ),
             Self::Refused { request, reason } => write!(f, "refused {request} reason={reason}"),
             Self::Bounced { request, reason } => write!(f, "bounced {request} reason={reason}"),
             Self::ConnClosed {
--- a/crates/decide/src/owner/upstream.rs
+++ b/crates/decide/src/owner/upstream.rs
@@ -41,6 +41,8 @@
     pub(crate) live: bool,
     /// Whether the view names this host as an owner.
     pub(crate) owned: bool,
+    /// Whether it has announced that it drains.
+    pub(crate) draining: bool,
     /// Whether this host is shutting down and accepts no new work.
     pub(crate) leaving: bool,
     /// Whether open transactions are rolled back as soon as no statement of them runs; set at the
@@ -86,6 +88,7 @@
             addr: announcement.addr,
             live: true,
             owned: true,
+            draining: announcement.draining,
             leaving: false,
             end_transactions: false,
             unreachable: false,
--- a/crates/decide/src/spread/facts.rs
+++ b/crates/decide/src/spread/facts.rs
@@ -89,6 +89,14 @@
         }
     }
 
+    /// Returns the announcement, if the fact is about an upstream.
+    pub fn as_upstream(&self) -> Option<&Announcement> {
+        match self {
+            Self::Upstream { announcement, .. } => Some(announcement),
+            _ => None,
+        }
+    }
+
     fn rank(&self) -> FactRank<'_> {
         match self {
             Self::Primary { term, upstream, .. } => (*term, 0, false, upstream),
--- a/crates/decide/src/spread/log_event.rs
+++ b/crates/decide/src/spread/log_event.rs
@@ -56,6 +56,13 @@
         /// The sequence of its last announcement.
         sequence: u64,
     },
+    /// An upstream has announced that it drains: it will leave, and gets no new reads.
+    UpstreamDraining {
+        /// The draining upstream.
+        upstream: UpstreamId,
+        /// The sequence of its announcement.
+        sequence: u64,
+    },
     /// An upstream has announced that it is leaving.
     UpstreamLeaving {
         /// The leaving upstream.
@@ -105,6 +112,7 @@
             Self::UpstreamLive { .. } => 510,
             Self::UpstreamLapsed { .. } => 511,
             Self::UpstreamLeaving { .. } => 512,
+            Self::UpstreamDraining { .. } => 513,
             Self::PrimaryLearned { .. } => 520,
             Self::ConfigInForce { .. } => 530,
             Self::ConfigUsable { .. } => 531,
@@ -149,6 +157,10 @@
             Self::UpstreamLapsed { upstream, sequence } => {
                 write!(f, "upstream-lapsed upstream={upstream} sequence={sequence}")
             }
+            Self::UpstreamDraining { upstream, sequence } => write!(
+                f,
+                "upstream-draining upstream={upstream} sequence={sequence}"
+            ),
             Self::UpstreamLeaving { upstream, sequence } => write!(
                 f,
                 "upstream-leaving upstream={upstream} sequence={sequence}"
--- a/crates/decide/src/spread/merge.rs
+++ b/crates/decide/src/spread/merge.rs
@@ -114,8 +114,7 @@
         match fact {
             Fact::Host { info, alive, .. } => self.apply_host_fact(cx, info, *alive, fact, old),
             Fact::Upstream { announcement, live } => {
-                let was_live = old.is_some_and(|old| !old.is_gone());
-                self.log_upstream_change(cx, announcement, *live, was_live);
+                self.log_upstream_change(cx, announcement, *live, old);
                 self.update_upstream_row(announcement, *live);
             }
             Fact::Primary {
@@ -232,21 +231,28 @@
         cx: &mut Cx<'_>,
         announcement: &model::Announcement,
         live: bool,
-        was_live: bool,
+        old: Option<&Fact>,
     ) {
         let upstream = announcement.upstream.clone();
         let sequence = announcement.sequence;
+        let old = old.filter(|old| !old.is_gone());
         if announcement.leaving {
-            cx.log(SpreadLogEvent::UpstreamLeaving { upstream, sequence });
-        } else if live && !was_live {
-            let service = announcement.service.clone();
+            return cx.log(SpreadLogEvent::UpstreamLeaving { upstream, sequence });
+        }
+        if live && old.is_none() {
             cx.log(SpreadLogEvent::UpstreamLive {
-                upstream,
-                service,
+                upstream: upstream.clone(),
+                service: announcement.service.clone(),
                 sequence,
             });
-        } else if was_live && !live {
-            cx.log(SpreadLogEvent::UpstreamLapsed { upstream, sequence });
+        } else if old.is_some() && !live {
+            return cx.log(SpreadLogEvent::UpstreamLapsed { upstream, sequence });
+        }
+        let was_draining = old
+            .and_then(Fact::as_upstream)
+            .is_some_and(|old| old.draining);
+        if live && announcement.draining && !was_draining {
+            cx.log(SpreadLogEvent::UpstreamDraining { upstream, sequence });
         }
     }
 
