--- a/crates/decide/tests/authority.rs
+++ b/crates/decide/tests/authority.rs
@@ -28,6 +28,8 @@
     fenced_term: Term,
     /// Whether the instance answers queries.
     reachable: bool,
+    /// Whether the instance announces that it drains.
+    draining: bool,
     incarnation: u64,
 }
 
@@ -60,6 +62,7 @@
             position: Position::new(1, 10),
             fenced_term: 0,
             reachable: true,
+            draining: false,
             incarnation: 1,
         };
         let instances = BTreeMap::from([
@@ -110,7 +113,7 @@
                 sequence: 1,
                 role: None,
                 warming: false,
-                draining: false,
+                draining: instance.draining,
                 leaving: false,
             };
             let owners = Vec::new();
@@ -361,3 +364,53 @@
     assert!(numbers.len() > 1 && numbers.is_sorted_by(|a, b| a < b));
     assert_eq!(world.instances["b"].fenced_term, 0);
 }
+
+#[test]
+fn a_draining_primary_is_not_ordered_to_lead_on_while_the_order_for_its_successor_is_in_doubt() {
+    let mut world = World::new();
+    world.run(Duration::from_secs(4));
+    world.platform_answers = false;
+    world.instances.get_mut("a").unwrap().draining = true;
+    world.announce(&["a", "b", "c"]);
+    world.run(Duration::from_secs(12));
+    let ordered = world.ordered_upstreams();
+    assert!(ordered.len() > 1, "the order was not given again");
+    assert!(
+        ordered.iter().all(|id| *id == ordered[0] && *id != "a"),
+        "orders in turn: {ordered:?}"
+    );
+    world.platform_answers = true;
+    world.run(Duration::from_secs(5));
+    let successor = world.orders[0].upstream.clone();
+    assert_eq!(world.primary, Some((2, successor)));
+    assert!(
+        world
+            .instances
+            .values()
+            .all(|instance| instance.fenced_term == 0)
+    );
+}
+
+#[test]
+fn a_successor_with_less_than_a_restarted_replica_is_not_ordered_again() {
+    let mut world = World::new();
+    world.run(Duration::from_secs(4));
+    world.platform_answers = false;
+    world.instances.get_mut("a").unwrap().draining = true;
+    world.announce(&["a", "b", "c"]);
+    world.run(Duration::from_secs(1));
+    let successor = world.orders[0].upstream.clone();
+    let other = if &*successor == "b" { "c" } else { "b" };
+    let restarted = world.instances.get_mut(other).unwrap();
+    restarted.incarnation += 1;
+    restarted.fenced_term = 0;
+    restarted.position = Position::new(1, 50);
+    world.announce(&["a", "b", "c"]);
+    world.run(Duration::from_secs(8));
+    let later = &world.ordered_upstreams()[1..];
+    assert!(!later.is_empty(), "no order was given again");
+    assert!(
+        later.iter().all(|id| *id == "a"),
+        "orders after the restart: {later:?}"
+    );
+}
--- a/crates/decide/tests/owner.rs
+++ b/crates/decide/tests/owner.rs
@@ -34,6 +34,28 @@
     });
 }
 
+#[test]
+fn a_draining_primary_that_is_not_replaced_gets_no_requests_after_its_drain_time() {
+    let mut harness = OwnerHarness::<Drr>::new();
+    let before = "
+        set warm=2
+        upstream u1
+        primary u1
+        probe u1
+        opened c1
+        opened c2
+        run 1 kind=write tx
+        done c2 tx=open after=primary@1:1/100
+        upstream u1 draining
+        run 2 kind=write
+        done c1 after=primary@1:1/200
+        advance 10s";
+    harness.run_script(before);
+    let after = harness.run_script("run 3 kind=write\nrun 4\nrun 5 kind=write tx pin=c2");
+    let expected = "bounce h1#3 NotOwner\nbounce h1#4 NotOwner\nrun-on c2 timeout=5s status\n";
+    assert_eq!(after, expected);
+}
+
 /// Seeds of the simulated arrivals and service times.
 const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
 
--- a/crates/decide/tests/owner_harness/mod.rs
+++ b/crates/decide/tests/owner_harness/mod.rs
@@ -183,7 +183,7 @@
             incarnation: 0,
             role: None,
             warming: false,
-            draining: false,
+            draining: line.has_flag("draining"),
             leaving: false,
         };
         let owners = vec!["me".into()];
