owner: end new requests to a draining upstream after its drain time

What callers saw: requests reached an instance that had said that it leaves, up to 10 s after that; once it was gone they would have been broken off.

Cause: draining was a preference without an end. Routing leaves out draining replicas, but a draining primary kept all its work until another instance led, however long that took. Anything that delays the replacement (here a platform that leaves orders unanswered) broke the promise.

Ruled out: news that is lost on its way to an owner. Owners drop an upstream whose announcements are not renewed within announce_lease, which is below the drain time.

Change: an owner that holds a draining upstream starts nothing new on it after owner.drain_timeout (drain-ms on the platform); open transactions go on. The time counts from the last announcement that the owner received by which the upstream did not drain, which is never after the notice was acknowledged. An owner that has none (it has just started or taken over) can't tell how old the drain is and starts nothing new at once; the other owner goes on. 209 drain-ended says when.

--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -11,6 +11,7 @@
 pub(crate) mod conn_events;
 pub(crate) mod connections;
 pub(crate) mod dispatch;
+pub(crate) mod drain;
 pub(crate) mod job;
 pub(crate) mod log_event;
 pub(crate) mod pin;
@@ -108,7 +109,7 @@
             let seen = view.upstreams.get(&upstream.id);
             upstream.live = seen.is_some();
             upstream.owned = seen.is_some_and(|seen| seen.owners.contains(&cx.me.host));
-            upstream.draining = seen.is_some_and(|seen| seen.announcement.draining);
+            upstream.update_drain(cx, seen);
             upstream.update_primary(view);
             if let Some(seen) = seen
                 && cx.settings.owner.capacity == CapacitySource::Announced
--- a/crates/decide/src/owner/dispatch.rs
+++ b/crates/decide/src/owner/dispatch.rs
@@ -81,6 +81,7 @@
     pub(crate) fn reconcile(&mut self, cx: &mut Cx<'_>, shared: &mut SharedState) {
         self.claim.take_if(|(_, until)| *until <= cx.now);
         self.refuse_expired(cx);
+        self.end_drain_if_due(cx);
         if !self.accepts_work(cx.now) {
             self.stop_work(cx, shared);
         }
@@ -193,7 +194,7 @@
             request,
             conn,
             reason,
-            draining: self.draining,
+            draining: self.drain.is_announced(),
         });
         let wait_for = wait_for.map(|(position, wait)| (position, wait.min(timeout)));
         cx.emit(Effect::RunOnConn {
--- a/crates/decide/src/owner/log_event.rs
+++ b/crates/decide/src/owner/log_event.rs
@@ -75,6 +75,15 @@
         /// The upstream concerned.
         upstream: UpstreamId,
     },
+    /// A draining upstream gets no new requests from this host any more.
+    DrainEnded {
+        /// The upstream concerned.
+        upstream: UpstreamId,
+        /// Whether it is still the primary, so that its service has none that takes requests.
+        is_primary: bool,
+        /// How many requests waited for it; those outside of open transactions are sent back.
+        queued: usize,
+    },
     /// This host's claim on an upstream has changed.
     Claimed {
         /// The upstream concerned.
@@ -129,16 +138,21 @@
             Self::TransactionLost { .. } => 206,
             Self::BreakerOpened { .. } => 207,
             Self::Claimed { .. } => 208,
+            Self::DrainEnded { .. } => 209,
         }
     }
 
     fn level(&self) -> log::Level {
         match self {
             Self::Queued { .. } | Self::ConnClosed { .. } => log::Level::Debug,
+            Self::DrainEnded {
+                is_primary: true, ..
+            } => log::Level::Warn,
             Self::Dispatched { .. }
             | Self::Refused { .. }
             | Self::Bounced { .. }
-            | Self::Claimed { .. } => log::Level::Info,
+            | Self::Claimed { .. }
+            | Self::DrainEnded { .. } => log::Level::Info,
             Self::ConnLost { .. } | Self::TransactionLost { .. } | Self::BreakerOpened { .. } => {
                 log::Level::Warn
             }
@@ -187,6 +201,14 @@
                 f,
                 "transaction-lost upstream={upstream} conn={conn} reason={reason}"
             ),
+            Self::DrainEnded {
+                upstream,
+                is_primary,
+                queued,
+            } => write!(
+                f,
+                "drain-ended upstream={upstream} primary={is_primary} queued={queued}"
+            ),
             Self::BreakerOpened { upstream } => write!(f, "breaker-opened upstream={upstream}"),
             Self::Claimed {
                 upstream,
--- a/crates/decide/src/owner/settings.rs
+++ b/crates/decide/src/owner/settings.rs
@@ -38,6 +38,9 @@
     /// How long a leaving host waits for open transactions.
     #[serde(with = "humantime_serde")]
     pub leave_timeout: Duration,
+    /// How long an upstream that has announced that it drains still gets new requests.
+    #[serde(with = "humantime_serde")]
+    pub drain_timeout: Duration,
     /// How long a read may wait for a replica that is expected to reach its floor.
     #[serde(with = "humantime_serde")]
     pub replica_wait: Duration,
@@ -66,6 +69,7 @@
             transaction_share: 0.5,
             idle_in_transaction: Duration::from_secs(60),
             leave_timeout: Duration::from_secs(20),
+            drain_timeout: Duration::from_secs(10),
             replica_wait: Duration::from_millis(20),
             open_backoff: Duration::from_millis(200),
             capacity: CapacitySource::default(),
--- a/crates/decide/src/owner/upstream.rs
+++ b/crates/decide/src/owner/upstream.rs
@@ -21,6 +21,7 @@
 
 use crate::breaker::Breaker;
 use crate::event::ProbeResult;
+use crate::owner::drain::DrainState;
 use crate::owner::job::{Job, Pin, RunningJob};
 use crate::owner::log_event::OwnerLogEvent;
 use crate::owner::replica_wait::{InstanceProgress, WaitPolicy};
@@ -41,8 +42,8 @@
     pub(crate) live: bool,
     /// Whether the view names this host as an owner.
     pub(crate) owned: bool,
-    /// Whether it has announced that it drains.
-    pub(crate) draining: bool,
+    /// Whether it drains, and until when it gets new requests then.
+    pub(crate) drain: DrainState,
     /// Whether this host is shutting down and accepts no new work.
     pub(crate) leaving: bool,
     /// Whether open transactions are rolled back as soon as no statement of them runs; set at the
@@ -88,7 +89,7 @@
             addr: announcement.addr,
             live: true,
             owned: true,
-            draining: announcement.draining,
+            drain: DrainState::default(),
             leaving: false,
             end_transactions: false,
             unreachable: false,
@@ -116,7 +117,8 @@
 
     /// Returns whether it accepts requests outside of open transactions.
     pub(crate) fn accepts_work(&self, now: Instant) -> bool {
-        self.live && self.owned && !self.leaving && self.active_claim(now).is_some()
+        let is_drained = self.drain.has_ended(now);
+        self.live && self.owned && !self.leaving && !is_drained && self.active_claim(now).is_some()
     }
 
     /// Stores a status unless it was asked for before the last one, and measures the replication
@@ -237,6 +239,7 @@
             self.pool.wake_at(),
             self.pins_wake_at(),
             self.next_open_at,
+            self.drain.wake_at(),
         ];
         all.into_iter().flatten().min()
     }
--- a/crates/decide/src/spread.rs
+++ b/crates/decide/src/spread.rs
@@ -264,11 +264,15 @@
     ///
     /// It copies the tables, so call it only after a change.
     pub fn view(&self, now: Instant) -> View {
+        let mut upstreams = self.tables.upstreams().clone();
+        for upstream in upstreams.values_mut() {
+            upstream.last_ready_at = self.leases.last_ready_at(&upstream.announcement.upstream);
+        }
         View {
             config: self.config.in_force().cloned().unwrap_or_default(),
             config_usable: self.config_usable_until.is_some_and(|until| now < until),
             hosts: self.tables.hosts().clone(),
-            upstreams: self.tables.upstreams().clone(),
+            upstreams,
             services: self.tables.services().clone(),
         }
     }
--- a/crates/decide/src/spread/announce.rs
+++ b/crates/decide/src/spread/announce.rs
@@ -122,7 +122,7 @@
                 continue;
             };
             if view.owners.contains(&self.me.host) {
-                self.leases.renew(&view.announcement, cx.now, lease);
+                self.leases.grant(&view.announcement, cx.now, lease);
             } else {
                 self.leases.end(&upstream);
             }
--- a/crates/decide/src/spread/announcement_lease.rs
+++ b/crates/decide/src/spread/announcement_lease.rs
@@ -17,6 +17,8 @@
 struct AnnouncementLease {
     announcement: Announcement,
     renewed_at: Instant,
+    /// When the upstream's last announcement came by which it does not drain.
+    last_ready_at: Option<Instant>,
     next_action_at: Instant,
     /// Whether the other owners have been asked for a later renewal.
     renewal_asked: bool,
@@ -42,12 +44,34 @@
         self.leases.keys()
     }
 
-    /// Grants or renews a lease; returns false if the announcement is not newer than the last.
+    /// Returns when an announcement last came by which the upstream does not drain, if one has come
+    /// under the lease that lasts.
+    pub fn last_ready_at(&self, upstream: &UpstreamId) -> Option<Instant> {
+        self.leases.get(upstream)?.last_ready_at
+    }
+
+    /// Grants or renews a lease for an announcement that the upstream has sent just now; returns
+    /// false if it is not newer than the last.
     pub fn renew(&mut self, announcement: &Announcement, now: Instant, lease: Duration) -> bool {
+        let is_new = self.grant(announcement, now, lease);
+        if let Some(lease) = self.leases.get_mut(&announcement.upstream)
+            && is_new
+            && !announcement.draining
+        {
+            lease.last_ready_at = Some(now);
+        }
+        is_new
+    }
+
+    /// Grants or renews a lease for an announcement that other hosts have passed on; returns false
+    /// if it is not newer than the last.
+    pub fn grant(&mut self, announcement: &Announcement, now: Instant, lease: Duration) -> bool {
         let known = self.get(&announcement.upstream);
         if known.is_some_and(|known| known.recency() >= announcement.recency()) {
             return false;
         }
+        let same_start = known.is_some_and(|known| known.incarnation == announcement.incarnation);
+        let last_ready_at = self.last_ready_at(&announcement.upstream);
         self.end(&announcement.upstream);
         let next_action_at = now + renewal_ask_delay(lease);
         let upstream = announcement.upstream.clone();
@@ -55,6 +79,7 @@
         let lease = AnnouncementLease {
             announcement: announcement.clone(),
             renewed_at: now,
+            last_ready_at: last_ready_at.filter(|_| same_start),
             next_action_at,
             renewal_asked: false,
         };
--- a/crates/decide/src/spread/tables.rs
+++ b/crates/decide/src/spread/tables.rs
@@ -206,6 +206,7 @@
         let view = UpstreamView {
             announcement,
             owners,
+            last_ready_at: None,
         };
         self.upstreams.insert(upstream.clone(), view);
         self.moved_upstreams.push(upstream.clone());
--- a/crates/decide/src/view.rs
+++ b/crates/decide/src/view.rs
@@ -3,6 +3,7 @@
 //! A part is the state of one thread of a host: the control part, or one of the traffic parts.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use model::{
     Announcement, Config, ConfigVersion, HashMap, HostId, HostInfo, ServiceId, Term, UpstreamId,
@@ -31,6 +32,9 @@
     pub announcement: Announcement,
     /// The hosts that may hold connections to it, the highest rendezvous score first.
     pub owners: Vec<HostId>,
+    /// When this host, as an owner, last received an announcement by which the upstream does not
+    /// drain; `None` if it has received none.
+    pub last_ready_at: Option<Instant>,
 }
 
 /// A service that has a live upstream.
--- a/crates/decide/tests/authority.rs
+++ b/crates/decide/tests/authority.rs
@@ -120,6 +120,7 @@
             let up = UpstreamView {
                 announcement,
                 owners,
+                last_ready_at: None,
             };
             view.upstreams.insert((*id).into(), up);
         }
--- a/crates/decide/tests/commit.rs
+++ b/crates/decide/tests/commit.rs
@@ -65,6 +65,7 @@
             let upstream_view = UpstreamView {
                 announcement,
                 owners,
+                last_ready_at: None,
             };
             view.upstreams.insert(upstream.into(), upstream_view);
         }
--- a/crates/decide/tests/group/host.rs
+++ b/crates/decide/tests/group/host.rs
@@ -267,6 +267,7 @@
             let upstream = UpstreamView {
                 announcement: announcement(service, instance, size),
                 owners,
+                last_ready_at: None,
             };
             self.view.upstreams.insert(instance.id.clone(), upstream);
         }
--- a/crates/decide/tests/owner_harness/mod.rs
+++ b/crates/decide/tests/owner_harness/mod.rs
@@ -187,9 +187,16 @@
             leaving: false,
         };
         let owners = vec!["me".into()];
+        let draining = announcement.draining;
+        let known = self.view.upstreams.get(line.subject());
+        let last_ready_at = match draining {
+            true => known.and_then(|known| known.last_ready_at),
+            false => Some(self.now),
+        };
         let upstream_view = UpstreamView {
             announcement,
             owners,
+            last_ready_at,
         };
         self.view
             .upstreams
--- a/crates/decide/tests/route_session.rs
+++ b/crates/decide/tests/route_session.rs
@@ -98,6 +98,7 @@
         let up = UpstreamView {
             announcement,
             owners: vec!["h2".into()],
+            last_ready_at: None,
         };
         let service = ServiceView {
             primary: Some((1, "i1".into())),
--- a/crates/decide/tests/spread_leases.rs
+++ b/crates/decide/tests/spread_leases.rs
@@ -166,3 +166,32 @@
     assert_eq!(before.announcement.sequence, after.announcement.sequence);
     assert!(net.announced_upstreams["u"].sequence > before.announcement.sequence + 20);
 }
+
+#[test]
+fn an_owner_that_does_not_know_when_a_drain_began_is_told_no_later_time() {
+    let mut net = converged_fleet(13, 7);
+    let owner = owners(&net)[0].clone();
+    let last_ready_at = |net: &Net| net.view(&owner).upstreams["u"].last_ready_at;
+    net.announced_upstreams
+        .get_mut("u")
+        .expect("announced")
+        .draining = true;
+    let began = net.now;
+    net.run(2 * SECOND);
+    let known = last_ready_at(&net).expect("the owner received announcements before the drain");
+    assert!(known <= began, "a time after the drain began");
+    assert!(
+        began - known < SECOND,
+        "an old time although announcements came since"
+    );
+    net.kill(&owner);
+    net.run(2 * SECOND);
+    net.restart(&owner);
+    net.run(2 * SECOND);
+    assert!(net.view(&owner).upstreams["u"].announcement.draining);
+    assert_eq!(
+        last_ready_at(&net),
+        None,
+        "a time that the restarted owner can't know"
+    );
+}
