authority: give an order in doubt again for the successor, not for a draining primary

What callers saw: with a platform that left orders unanswered, a service kept the primary that had said that it leaves until that was gone, and then had none for a while.

Cause: once an order had no answer, the leader settled the doubt by ordering the active primary to lead on, which makes earlier orders void.

Change: the leader remembers the instance that all orders in doubt promote. If the primary drains and that instance still has the highest fenced position, and every write that a lost replica may have acknowledged, the order is given again for it. In all other cases the present primary is ordered as before.

Why no write is lost: all replicas stay fenced.

--- a/crates/decide/src/authority/failover.rs
+++ b/crates/decide/src/authority/failover.rs
@@ -10,8 +10,7 @@
 use model::{Position, UpstreamId};
 
 use crate::authority::service::{
-    FAST_PROBE_INTERVAL, FailoverStage, LostReplica, MonitoredInstance, MonitoredService,
-    RETRY_PAUSE,
+    FAST_PROBE_INTERVAL, FailoverStage, MonitoredInstance, MonitoredService, RETRY_PAUSE,
 };
 use crate::authority::{
     AuthorityLogEvent, Outbox, PendingQuery, PromotionError, PromotionOrder, QueryPurpose,
@@ -104,29 +103,40 @@
             return;
         };
         let fenced = fenced.clone();
-        if *keep_primary
-            && self.primary_is_active()
-            && let Some((_, id)) = self.primary.clone()
-        {
-            return self.request_order(cx, outbox, &id, fenced);
+        let active_primary = self.primary.as_ref().filter(|_| self.primary_is_active());
+        let kept = active_primary.filter(|_| *keep_primary);
+        let kept = kept.map(|(_, id)| id.clone());
+        let drains = |id: &UpstreamId| {
+            self.members
+                .get(id)
+                .is_some_and(|m| m.announcement.draining)
+        };
+        if let Some(id) = kept.as_ref().filter(|id| !drains(id)) {
+            return self.request_order(cx, outbox, id, fenced);
         }
         let is_available = |id: &UpstreamId| {
             let member = self.members.get(id);
             member.is_some_and(|m| !m.announcement.draining && !m.announcement.warming)
         };
+        let in_doubt = |id: &UpstreamId| self.instance_in_doubt.as_ref() == Some(id);
         let best = fenced
             .iter()
-            .max_by_key(|(id, (position, _))| (*position, is_available(id)));
+            .max_by_key(|(id, (position, _))| (*position, in_doubt(id), is_available(id)));
+        let has_every_write = |position: Position| {
+            self.lost_replicas.values().all(|lost| {
+                let primary_position = lost.primary_position_after;
+                primary_position.is_some_and(|primary_position| position >= primary_position)
+            })
+        };
+        let best = best.filter(|(_, (position, _))| has_every_write(*position));
+        // While an order for another instance may still be carried out, only the primary is sure to
+        // have every write, even if it drains.
+        if let Some(id) = kept.filter(|_| !best.is_some_and(|(id, _)| in_doubt(id))) {
+            return self.request_order(cx, outbox, &id, fenced);
+        }
         let Some((chosen, (position, _))) = best else {
             return;
         };
-        let may_lack_writes = |lost: &LostReplica| {
-            lost.primary_position_after
-                .is_none_or(|primary_position| *position < primary_position)
-        };
-        if self.lost_replicas.values().any(may_lack_writes) {
-            return;
-        }
         cx.log(AuthorityLogEvent::SuccessorChosen {
             service: self.name.clone(),
             upstream: chosen.clone(),
@@ -228,7 +238,7 @@
         });
         match result {
             Ok(()) => {
-                self.order_in_doubt = false;
+                self.settle_doubt();
                 if let Some(member) = self.members.get_mut(&upstream) {
                     member.next_probe_at = cx.now + FAST_PROBE_INTERVAL;
                 }
@@ -238,12 +248,27 @@
                 };
             }
             Err(error) => {
-                self.order_in_doubt |= error == PromotionError::Unanswered;
+                if error == PromotionError::Unanswered {
+                    self.doubt_order(&upstream);
+                }
                 self.end_attempt(cx, "order-failed");
             }
         }
     }
 
+    /// Records that an order which was not answered may still be carried out.
+    pub(crate) fn doubt_order(&mut self, upstream: &UpstreamId) {
+        let is_only_one = !self.order_in_doubt || self.instance_in_doubt.as_ref() == Some(upstream);
+        self.instance_in_doubt = is_only_one.then(|| upstream.clone());
+        self.order_in_doubt = true;
+    }
+
+    /// Records that no earlier order can be carried out any more.
+    pub(crate) fn settle_doubt(&mut self) {
+        self.order_in_doubt = false;
+        self.instance_in_doubt = None;
+    }
+
     /// Ends the attempt; another one may start after [`RETRY_PAUSE`].
     pub(crate) fn end_attempt(&mut self, cx: &mut Cx<'_>, reason: &'static str) {
         cx.log(AuthorityLogEvent::ReplacementStopped {
--- a/crates/decide/src/authority/service.rs
+++ b/crates/decide/src/authority/service.rs
@@ -110,6 +110,9 @@
     pub(crate) no_primary_since: Option<Instant>,
     /// Whether an order that was not answered may still be carried out.
     pub(crate) order_in_doubt: bool,
+    /// The instance that all orders in doubt promote; `None` if they differ or an earlier leader
+    /// gave one.
+    pub(crate) instance_in_doubt: Option<UpstreamId>,
     /// Whether a later order has made all orders of earlier leaders void.
     pub(crate) earlier_orders_void: bool,
     /// Time by which all its instances should be announced; no attempt starts before.
@@ -135,6 +138,7 @@
             },
             no_primary_since: None,
             order_in_doubt: false,
+            instance_in_doubt: None,
             earlier_orders_void: false,
             all_announced_by: now + ANNOUNCEMENT_WAIT,
             fenced_by_this_leader: false,
@@ -149,7 +153,7 @@
             next_attempt_at: now + RETRY_PAUSE,
         };
         self.no_primary_since = None;
-        self.order_in_doubt = false;
+        self.settle_doubt();
         self.earlier_orders_void = false;
         self.fenced_by_this_leader = false;
         for member in self.members.values_mut() {
@@ -321,7 +325,7 @@
             self.stage = FailoverStage::Idle {
                 next_attempt_at: cx.now,
             };
-            self.order_in_doubt = false;
+            self.settle_doubt();
             self.earlier_orders_void = true;
         }
         if !is_known_primary {
@@ -356,11 +360,14 @@
                 self.end_attempt_without_order(cx, outbox, "not-fenced");
             }
             FailoverStage::Fencing { .. } => self.advance_fencing(cx, outbox),
-            FailoverStage::AwaitingNumber { deadline, .. }
-            | FailoverStage::AwaitingAnswer { deadline, .. }
-                if cx.now >= *deadline =>
-            {
-                self.order_in_doubt = true;
+            FailoverStage::AwaitingNumber {
+                deadline, upstream, ..
+            }
+            | FailoverStage::AwaitingAnswer {
+                deadline, upstream, ..
+            } if cx.now >= *deadline => {
+                let upstream = upstream.clone();
+                self.doubt_order(&upstream);
                 self.end_attempt(cx, "no-answer");
             }
             FailoverStage::ConfirmingPrimary { deadline, .. } if cx.now >= *deadline => {
--- a/crates/decide/tests/authority.rs
+++ b/crates/decide/tests/authority.rs
@@ -415,3 +415,27 @@
         "orders after the restart: {later:?}"
     );
 }
+
+#[test]
+fn an_order_that_is_carried_out_late_and_then_given_again_loses_no_write() {
+    let mut world = World::new();
+    world.run(Duration::from_secs(4));
+    world.platform_answers = false;
+    world.instances.get_mut("a").unwrap().draining = true;
+    world.announce(&["a", "b", "c"]);
+    world.run(Duration::from_secs(1));
+    let successor = world.orders[0].upstream.clone();
+    world.promote(&successor);
+    // The former primary isn't fenced, so it receives the writes of the new term.
+    for id in ["a", &*successor] {
+        world.instances.get_mut(id).unwrap().position = Position::new(2, 15);
+    }
+    world.platform_answers = true;
+    world.run(Duration::from_secs(8));
+    assert_eq!(world.primary, Some((2, successor.clone())));
+    let later = &world.ordered_upstreams()[1..];
+    assert!(
+        later.iter().all(|id| **id == *successor),
+        "orders after the late one: {later:?}"
+    );
+}
