group: replace a draining primary also where instances promise terms

The same cause elsewhere: where owners replace primaries with a majority of the instances, draining was not a reason to replace at all; only leaving was, and a leaving instance is already gone from the tables. With the end of new requests after owner.drain_timeout such a service would have had no primary from then on.

Evidence: script draining_primary_is_replaced. Before: primary=db-2 term=1 two seconds after db-2 said that it drains. Now db-3, which does not drain, leads 29 ms after the notice, with no write unconfirmed.

Change: Announcement::will_leave covers both.

--- a/crates/decide/src/group/election.rs
+++ b/crates/decide/src/group/election.rs
@@ -289,7 +289,7 @@
     ) {
         let stays = |upstream: &UpstreamId| {
             let member = self.members.get(upstream);
-            member.is_some_and(|member| !member.announcement.leaving)
+            member.is_some_and(|member| !member.announcement.will_leave())
         };
         let best = promised
             .iter()
--- a/crates/decide/src/group/failure_detection.rs
+++ b/crates/decide/src/group/failure_detection.rs
@@ -28,7 +28,7 @@
     Stalled,
     /// The primary can confirm writes, but an instance has promised a higher term.
     Split,
-    /// The primary announces that it is leaving.
+    /// The primary announces that it drains or is leaving.
     Leaving,
 }
 
@@ -145,7 +145,10 @@
             .filter(|(other, _)| *other != upstream)
             .count();
         let replaceable = others >= self.majority();
-        if primary.announcement.leaving && replaceable {
+        let has_successor = self
+            .up_members()
+            .any(|(other, member)| other != upstream && !member.announcement.will_leave());
+        if primary.announcement.will_leave() && replaceable && has_successor {
             return Some(ReplaceReason::Leaving);
         }
         let above_term = self
--- a/crates/decide/tests/group/faults.rs
+++ b/crates/decide/tests/group/faults.rs
@@ -82,6 +82,12 @@
         self.announce_all_except(None);
     }
 
+    /// Makes an instance announce that it drains.
+    pub(crate) fn drain_instance(&mut self, instance: usize) {
+        self.instances[instance].draining = true;
+        self.announce_all_except(None);
+    }
+
     /// Removes an instance from all views, as when its announcement lapses.
     pub(crate) fn lapse_instance(&mut self, instance: usize) {
         self.announce_all_except(Some(instance));
--- a/crates/decide/tests/group/host.rs
+++ b/crates/decide/tests/group/host.rs
@@ -288,7 +288,7 @@
         incarnation: 0,
         role: None,
         warming: false,
-        draining: false,
+        draining: instance.draining,
         leaving: instance.leaving,
     }
 }
--- a/crates/decide/tests/group/instance.rs
+++ b/crates/decide/tests/group/instance.rs
@@ -31,6 +31,7 @@
     pub(crate) data_centre: DataCentreId,
     pub(crate) alive: bool,
     pub(crate) frozen: bool,
+    pub(crate) draining: bool,
     pub(crate) leaving: bool,
     /// Whether it refuses new connections because all are in use.
     pub(crate) refuses_connections: bool,
@@ -59,6 +60,7 @@
             data_centre: data_centre.into(),
             alive: true,
             frozen: false,
+            draining: false,
             leaving: false,
             refuses_connections: false,
             detached: false,
--- a/crates/decide/tests/group/main.rs
+++ b/crates/decide/tests/group/main.rs
@@ -45,6 +45,7 @@
 scripts! {
     claims,
     cut_off,
+    draining_primary_is_replaced,
     flapping,
     full,
     full_restart,
--- a/crates/decide/tests/group/script.rs
+++ b/crates/decide/tests/group/script.rs
@@ -79,6 +79,7 @@
         }
         ("leave", Some(host), _) => world.leave_host(host),
         ("leave", _, Some(instance)) => world.leave_instance(instance),
+        ("drain", _, Some(instance)) => world.drain_instance(instance),
         ("lapse", _, Some(instance)) => world.lapse_instance(instance),
         ("promise-by-nobody", _, Some(instance)) => world.promise_to_dead_candidate(instance),
         ("isolate", ..) => world.isolate(&name.into()),
--- a/crates/model/src/instance.rs
+++ b/crates/model/src/instance.rs
@@ -56,6 +56,11 @@
 }
 
 impl Announcement {
+    /// Returns whether the upstream is to be replaced as primary, and not to become one.
+    pub fn will_leave(&self) -> bool {
+        self.draining || self.leaving
+    }
+
     /// Returns a value that rises with each announcement of one upstream, also across restarts.
     pub fn recency(&self) -> (Incarnation, u64) {
         (self.incarnation, self.sequence)
