--- a/crates/store/tests/disk/failing.rs
+++ b/crates/store/tests/disk/failing.rs
@@ -137,3 +137,32 @@
         check_failed_write(fault, persist.clone());
     }
 }
+
+#[test]
+fn a_store_writes_again_once_a_full_disk_has_room() {
+    let dir = tempfile::tempdir().unwrap();
+    let disk = FaultyDisk(Rc::new(Cell::new(Fault::None)));
+    let (mut store, mut expected) = Store::open_on(disk.clone(), dir.path(), 7).unwrap();
+    let writes = [
+        make_persist(
+            1,
+            hard_state(1, Some("a")),
+            Some(founding_snapshot()),
+            vec![],
+        ),
+        make_append(2, 2, vec![entry(2, 2)]),
+        make_append(3, 2, vec![entry(2, 3)]),
+    ];
+    for persist in writes {
+        disk.0.set(Fault::FullAfter(40));
+        for _ in 0..3 {
+            store.write(persist.clone()).unwrap_err();
+        }
+        disk.0.set(Fault::None);
+        store.write(persist.clone()).unwrap();
+        expected.apply_write(persist).unwrap();
+    }
+    drop(store);
+    let (_store, recovered) = Store::open(dir.path(), 8).unwrap();
+    assert_eq!(recovered, expected);
+}
