store: try a failed write again until it succeeds

What callers saw: after the disks of control hosts had been full one after another, no change was acknowledged and no configuration confirmed any more, and hosts stopped serving keys, while all processes ran.

Cause: the store closed after one failed write and the thread that writes ended. Each disk that was full for a moment took a voter until its process was restarted; the second of three took the quorum.

A damaged file still ends all writing.

--- a/crates/host/src/disk.rs
+++ b/crates/host/src/disk.rs
@@ -5,10 +5,10 @@
 use std::thread::JoinHandle;
 
 use decide::Event;
-use decide::raft::{Persist, Persisted, PersistentState};
+use decide::raft::{Persist, PersistentState};
 use eyre::WrapErr;
 use model::CONTROL_PART;
-use store::Store;
+use store::{Store, write_queue};
 
 use crate::inbox::Inboxes;
 
@@ -30,11 +30,15 @@
 
     /// Recovers the state in a data folder and starts the thread that writes to it.
     pub(crate) fn open(dir: &Path, inboxes: Inboxes) -> eyre::Result<(Self, PersistentState)> {
-        let (store, recovered) = Store::open(dir, rand::random())?;
+        let (mut store, recovered) = Store::open(dir, rand::random())?;
         let (tx, rx) = mpsc::channel();
         let thread = std::thread::Builder::new()
             .name("disk".to_owned())
-            .spawn(move || write_until_closed(store, &rx, &inboxes))
+            .spawn(move || {
+                write_queue(&mut store, &rx, |persisted| {
+                    inboxes.send_event(CONTROL_PART, Event::Persisted(persisted));
+                });
+            })
             .wrap_err("the storage thread can't be started")?;
         let disk = Self {
             tx: Some(tx),
@@ -46,7 +50,7 @@
     /// Queues a write; the control part gets `Event::Persisted` once it is synced.
     pub(crate) fn persist(&self, persist: Persist) {
         if let Some(tx) = &self.tx {
-            // Sending fails if a write has failed and ended the thread. The write is then never
+            // Sending fails if a damaged log file has ended the thread. The write is then never
             // acknowledged, as the control part expects of a failed disk.
             let _ = tx.send(persist);
         }
@@ -60,20 +64,3 @@
         }
     }
 }
-
-/// Writes until the queue is closed, or until a write fails: nothing is written after a failure.
-fn write_until_closed(mut store: Store, rx: &mpsc::Receiver<Persist>, inboxes: &Inboxes) {
-    for persist in rx {
-        match store.write(persist) {
-            Ok(persisted) => report_persisted(inboxes, persisted),
-            Err(error) => {
-                log::error!("event=430 disk-failed error={error}");
-                return;
-            }
-        }
-    }
-}
-
-fn report_persisted(inboxes: &Inboxes, persisted: Persisted) {
-    inboxes.send_event(CONTROL_PART, Event::Persisted(persisted));
-}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -3,6 +3,8 @@
 use std::io;
 use std::path::PathBuf;
 
+use decide::raft::WriteId;
+
 /// Error of opening or writing a store.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
@@ -34,11 +36,13 @@
         /// The kind of damage.
         kind: DamageKind,
     },
-    /// An earlier write failed, after which the store refuses all writes.
-    #[error("{path}: closed after a failed write", path = path.display())]
-    Closed {
+    /// An earlier write failed and has not succeeded since, so the store refuses others.
+    #[error("{path}: write {failed} failed and must be tried again first", path = path.display())]
+    EarlierWriteFailed {
         /// The log file.
         path: PathBuf,
+        /// The write that failed.
+        failed: WriteId,
     },
 }
 
@@ -57,6 +61,9 @@
     /// The record can't be decoded.
     #[error("the record can't be decoded")]
     Encoding,
+    /// Records that were synced are missing.
+    #[error("records that were synced are missing")]
+    Missing,
     /// The record's write can't follow the ones before: a lower term, or a gap in the log.
     #[error("the record does not follow the one before")]
     Order,
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -5,11 +5,11 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
-use decide::raft::{Persist, Persisted, PersistentState, StoreId};
+use decide::raft::{Persist, Persisted, PersistentState, StoreId, WriteId};
 
 use crate::disk::{Disk, LogFile, OsDisk, sync_dir};
 use crate::recover::{self, FileHeader, MAGIC};
-use crate::{StoreError, record};
+use crate::{DamageKind, StoreError, record};
 
 /// File name of the log in the data folder.
 pub const LOG_NAME: &str = "raft.log";
@@ -24,12 +24,12 @@
     disk: D,
     dir: PathBuf,
     store_id: StoreId,
-    /// The log file; `None` after a failed write, which ends all writing.
+    /// The log file; `None` after a failed write, until a new file replaces it.
     file: Option<D::File>,
     /// Length of the synced part of the log file, in bytes.
-    ///
-    /// Above 0 while `file` is `None`, it means that a write failed.
     synced_len: u64,
+    /// The write that failed last, if it has not succeeded since.
+    failed_write: Option<WriteId>,
     /// Holds the lock until the store is dropped.
     _lock: Arc<File>,
 }
@@ -71,6 +71,7 @@
             store_id: new_id,
             file: None,
             synced_len: 0,
+            failed_write: None,
             _lock: Arc::new(lock),
         };
         match fs::read(&path) {
@@ -111,29 +112,36 @@
     ///
     /// # Errors
     ///
-    /// After an error, what was written of the record is cut off, and all later writes fail.
-    pub fn write(&mut self, persist: Persist) -> Result<Persisted, StoreError> {
-        let persisted = Persisted {
-            raft_group: persist.raft_group,
-            id: persist.id,
-        };
-        let record = record::encode(&persist);
+    /// After an error, what was written of the record is cut off, and the same write must be tried
+    /// again until it succeeds; any other is refused until then.
+    pub fn write(&mut self, persist: &Persist) -> Result<Persisted, StoreError> {
+        let id = persist.id;
+        if let Some(failed) = self.failed_write.filter(|failed| *failed != id) {
+            let path = self.dir.join(LOG_NAME);
+            return Err(StoreError::EarlierWriteFailed { path, failed });
+        }
+        self.failed_write = Some(id);
+        let record = record::encode(persist);
         if persist.snapshot.is_some() {
             self.replace_log(&record)?;
         } else {
-            self.append(&record)?;
+            match self.file.take() {
+                Some(file) => self.append(file, &record)?,
+                None => self.copy_log(&record)?,
+            }
         }
-        Ok(persisted)
+        self.failed_write = None;
+        Ok(Persisted {
+            raft_group: persist.raft_group,
+            id,
+        })
     }
 
-    /// Appends a record and syncs it.
-    fn append(&mut self, record: &[u8]) -> Result<(), StoreError> {
-        let path = self.dir.join(LOG_NAME);
-        let Some(mut file) = self.file.take() else {
-            return Err(StoreError::Closed { path });
-        };
+    /// Appends a record and syncs it; a file that fails is not used again.
+    fn append(&mut self, mut file: D::File, record: &[u8]) -> Result<(), StoreError> {
         let written = file.append(record).and_then(|()| file.sync());
         if let Err(source) = written {
+            let path = self.dir.join(LOG_NAME);
             let truncated = file.truncate(self.synced_len).and_then(|()| file.sync());
             if let Err(err) = truncated {
                 log::error!("cut-failed path={} error={err}", path.display());
@@ -145,25 +153,45 @@
         Ok(())
     }
 
-    /// Replaces the log file by a new one with a file header and the given records.
-    fn replace_log(&mut self, records: &[u8]) -> Result<(), StoreError> {
+    /// Replaces the log file by a copy of its synced part and a record.
+    ///
+    /// After a failed sync, a later one can succeed although data is missing, so the old file is
+    /// not appended to.
+    fn copy_log(&mut self, record: &[u8]) -> Result<(), StoreError> {
         let path = self.dir.join(LOG_NAME);
-        if self.file.is_none() && self.synced_len > 0 {
-            return Err(StoreError::Closed { path });
+        let mut bytes = fs::read(&path).map_err(|source| io_error(&path, source))?;
+        bytes.truncate(usize::try_from(self.synced_len).unwrap_or(usize::MAX));
+        let contents = recover::read_log(&path, &bytes)?;
+        if contents.valid_len as u64 != self.synced_len {
+            return Err(StoreError::Damaged {
+                path,
+                offset: contents.valid_len as u64,
+                kind: DamageKind::Missing,
+            });
         }
-        self.file = None;
-        let new_path = self.dir.join(NEW_LOG_NAME);
+        bytes.extend(record);
+        self.install_log(&bytes)
+    }
+
+    /// Replaces the log file by a new one with a file header and the given records.
+    fn replace_log(&mut self, records: &[u8]) -> Result<(), StoreError> {
         let header = FileHeader {
             magic: MAGIC,
             store_id: self.store_id,
         };
         let mut bytes = record::encode(&header);
         bytes.extend(records);
-        let len = bytes.len() as u64;
-        let file = self.write_new_log(&new_path, &path, &bytes);
-        // Set before an error is returned: a length above 0 without a file marks a failed write.
-        self.synced_len = len;
+        self.install_log(&bytes)
+    }
+
+    /// Replaces the log file by a new one with the given content.
+    fn install_log(&mut self, bytes: &[u8]) -> Result<(), StoreError> {
+        let path = self.dir.join(LOG_NAME);
+        let new_path = self.dir.join(NEW_LOG_NAME);
+        self.file = None;
+        let file = self.write_new_log(&new_path, &path, bytes);
         self.file = Some(file.map_err(|source| io_error(&path, source))?);
+        self.synced_len = bytes.len() as u64;
         Ok(())
     }
 
--- a/crates/store/tests/disk/reopen.rs
+++ b/crates/store/tests/disk/reopen.rs
@@ -32,7 +32,7 @@
     for persist in writes {
         expected.apply_write(persist.clone()).unwrap();
         let id = persist.id;
-        assert_eq!(store.write(persist).unwrap().id, id);
+        assert_eq!(store.write(&persist).unwrap().id, id);
     }
     drop(store);
     let (_store, recovered) = Store::open(dir.path(), 8).unwrap();
--- a/crates/store/tests/disk/sample.rs
+++ b/crates/store/tests/disk/sample.rs
@@ -97,7 +97,7 @@
     };
     let mut lens = Vec::new();
     for persist in writes {
-        store.write(persist).expect("a write succeeds");
+        store.write(&persist).expect("a write succeeds");
         lens.push(len());
     }
     lens
--- a/crates/store/tests/disk/synced.rs
+++ b/crates/store/tests/disk/synced.rs
@@ -70,7 +70,7 @@
         ),
         make_append(3, 2, vec![entry(2, 2)]),
     ] {
-        store.write(persist).unwrap();
+        store.write(&persist).unwrap();
         assert_eq!(
             disk.0.get(),
             0,
--- a/crates/store/tests/disk/torn.rs
+++ b/crates/store/tests/disk/torn.rs
@@ -46,7 +46,7 @@
     let (mut store, mut expected) = Store::open(dir.path(), 9).unwrap();
     let next = make_append(1, 5, vec![entry(5, 4)]);
     expected.apply_write(next.clone()).unwrap();
-    store.write(next).unwrap();
+    store.write(&next).unwrap();
     drop(store);
     let (_store, recovered) = Store::open(dir.path(), 9).unwrap();
     assert_eq!(recovered, expected);
