entry: park a read that is bounced as behind a second time

Cause: each bounce as behind sent the read on without a pause; only the first one says anything new.

Change: the first bounce sends the read to the primary or another replica at once, as before; a second one parks it for the usual backoff of 5 to 80 ms.

--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -330,9 +330,11 @@
             Bounce::Behind => {
                 self.router.failures.record_behind(cx.now, &target.upstream);
                 pending.last_refusal = Refusal::NoUpstream;
-                pending.replica_behind = true;
                 pending.may_have_run = true;
-                return self.send_or_park(cx, view, sessions, pending);
+                // A second bounce shows that no upstream has the position yet.
+                if !std::mem::replace(&mut pending.replica_behind, true) {
+                    return self.send_or_park(cx, view, sessions, pending);
+                }
             }
             Bounce::NotPrimary { primary } => {
                 pending.last_refusal = Refusal::NoPrimary;
