raft: send entries again at growing intervals to a member that does not answer

What operators saw: while a control host's disk was full, 0.1 to 0.2 GB went between data centres in 40 s instead of about 0.01.

Cause: a member whose disk is full holds its answers back. The leader took that for lost messages and sent all the entries that the member lacked again with each heartbeat of 50 ms; entries with whole configurations are large.

A lost message is still found at the next heartbeat, since the member answers that.

--- a/crates/decide/src/raft/leader.rs
+++ b/crates/decide/src/raft/leader.rs
@@ -14,8 +14,9 @@
 use crate::replicated_state::Committed;
 use crate::{Cx, Event};
 
-/// Number of heartbeat intervals without an answer after which a snapshot is sent again.
-const SNAPSHOT_RESEND_HEARTBEATS: u32 = 20;
+/// Number of heartbeat intervals without an answer after which a snapshot is sent again; also the
+/// longest interval between sending the same entries again.
+const RESEND_HEARTBEATS_MAX: u32 = 20;
 
 /// Volatile state of a leader, lost when it steps down.
 #[derive(Debug)]
@@ -48,6 +49,8 @@
     next_index: LogIndex,
     /// Until when no further entries are sent unless the last ones are answered.
     append_in_flight_until: Option<Instant>,
+    /// How often entries were sent since the last answer; the interval doubles with each time.
+    unanswered_appends: u32,
     /// Until when no snapshot is sent again unless the last one is answered.
     snapshot_in_flight_until: Option<Instant>,
     /// The newest round that the member has answered.
@@ -67,6 +70,7 @@
             match_index: 0,
             next_index: last_index + 1,
             append_in_flight_until: None,
+            unanswered_appends: 0,
             snapshot_in_flight_until: None,
             answered_round: 0,
             last_heard_at: None,
@@ -193,7 +197,7 @@
                 return;
             };
             peer.snapshot_in_flight_until =
-                Some(cx.now + settings.heartbeat * SNAPSHOT_RESEND_HEARTBEATS);
+                Some(cx.now + settings.heartbeat * RESEND_HEARTBEATS_MAX);
             let msg = MemberMsg::InstallSnapshot {
                 term,
                 round,
@@ -211,7 +215,10 @@
             _ => Vec::new(),
         };
         if !entries.is_empty() {
-            peer.append_in_flight_until = Some(cx.now + settings.heartbeat);
+            let doubled = 1u32.checked_shl(peer.unanswered_appends);
+            let heartbeats = doubled.unwrap_or(u32::MAX).min(RESEND_HEARTBEATS_MAX);
+            peer.unanswered_appends += 1;
+            peer.append_in_flight_until = Some(cx.now + settings.heartbeat * heartbeats);
         }
         let append = AppendEntries {
             term,
@@ -248,6 +255,7 @@
         }
         peer.answered_round = peer.answered_round.max(reply.round);
         peer.last_heard_at = Some(cx.now);
+        peer.unanswered_appends = 0;
         peer.record_timestamp(reply.sent_at, cx.now, leader.confirmed_round.1);
         if reply.log_matches {
             peer.match_index = peer.match_index.max(reply.match_hint.min(last_index));
--- a/crates/decide/tests/raft/harness.rs
+++ b/crates/decide/tests/raft/harness.rs
@@ -64,6 +64,8 @@
     pub(crate) is_up: bool,
     /// The write that is not synced yet, and when it will be.
     pub(crate) write_in_flight: Option<(Instant, Persist)>,
+    /// Until when the disk is full, so that no write is synced.
+    pub(crate) disk_full_until: Instant,
     pub(crate) rng: SmallRng,
     /// The newest version that the host has reported as committed since it started.
     pub(crate) committed_version: ConfigVersion,
@@ -169,6 +171,7 @@
             control_client: ControlClient::default(),
             is_up: false,
             write_in_flight: None,
+            disk_full_until: self.start,
             rng: SmallRng::seed_from_u64(self.rng.random()),
             committed_version: 0,
             confirmed: None,
@@ -216,6 +219,15 @@
         self.trace_line(format!("wipe {name} store={store:x}"));
     }
 
+    /// Lets no write of a host be synced for a time, as when its disk is full.
+    pub(crate) fn fill_disk(&mut self, name: &str, time: Duration) {
+        let host = self.hosts.get_mut(name).unwrap();
+        host.disk_full_until = self.now + time;
+        if let Some((synced_at, _)) = &mut host.write_in_flight {
+            *synced_at = host.disk_full_until;
+        }
+    }
+
     /// Cuts the link between two hosts in both directions.
     pub(crate) fn cut_link(&mut self, a: &str, b: &str) {
         self.cut_links.insert((a.into(), b.into()));
--- a/crates/decide/tests/raft/simulation.rs
+++ b/crates/decide/tests/raft/simulation.rs
@@ -147,7 +147,7 @@
                     host.write_in_flight.is_none(),
                     "two writes at a time on {name}"
                 );
-                host.write_in_flight = Some((at, persist));
+                host.write_in_flight = Some((at.max(host.disk_full_until), persist));
             }
             Effect::Reply { id, reply } => self.check_reply(id, reply),
             Effect::Log(note) => self.trace_line(format!("{name}: {note}")),
