raft: bound the messages that wait for a write

Cause: each answer to a heartbeat waits for the write in flight. While a disk was full a member kept 20 more a second, without an end, and sent all of them at once when the disk had room.

Change: at most 64 messages wait; the oldest is dropped, which is as if the network had lost it. The newest answers are those that the leader needs.

--- a/crates/decide/src/raft/write_batcher.rs
+++ b/crates/decide/src/raft/write_batcher.rs
@@ -11,6 +11,9 @@
 use crate::raft::entry::{Entry, HardState, LogIndex, Persist, RaftGroupId, Snapshot, WriteId};
 use crate::raft::msg::Envelope;
 
+/// Largest number of messages that are held back at a time; the sender of a dropped one tries again.
+const HELD_MESSAGES_MAX: usize = 64;
+
 /// Gathers what is to be written while another write is in flight.
 #[derive(Debug)]
 pub(crate) struct WriteBatcher {
@@ -100,7 +103,12 @@
     }
 
     /// Holds a message until all that is pending or in flight now is synced.
+    ///
+    /// Drops the oldest one if there are too many, as while the disk is full.
     pub(crate) fn hold_until_synced(&mut self, to: HostId, envelope: Envelope) {
+        if self.held_messages.len() >= HELD_MESSAGES_MAX {
+            self.held_messages.pop_front();
+        }
         self.held_messages
             .push_back((self.covering_write(), to, envelope));
     }
--- a/crates/decide/tests/raft/full_disks.rs
+++ b/crates/decide/tests/raft/full_disks.rs
@@ -93,3 +93,21 @@
     let version = sim.newest_version();
     assert_eq!(sim.hosts[&full].committed_version, version);
 }
+
+#[test]
+fn a_member_whose_disk_is_full_for_long_holds_few_messages() {
+    let mut sim = start_with_patch(1);
+    let full = follower(&sim);
+    let long = Duration::from_secs(60);
+    sim.fill_disk(&full, long);
+    sim.patch_until_decided("x", service_patch("second", sim.newest_version()));
+    sim.run_for(long - Duration::from_millis(100));
+    let replies = count_sent(&mut sim, Duration::from_millis(300), |from, _, msg| {
+        *from == full && matches!(msg, MemberMsg::AppendEntriesReply(_))
+    });
+    assert!(replies > 0, "no reply was held");
+    assert!(
+        replies < 100,
+        "{replies} replies were held and sent at once"
+    );
+}
