--- a/crates/carawayd/tests/deploy.rs
+++ b/crates/carawayd/tests/deploy.rs
@@ -8,7 +8,7 @@
 use host::{HostSettings, settings_file};
 
 /// The fields of the templates that the platform fills in, with example values.
-const FIELDS: [(&str, &str); 15] = [
+const FIELDS: [(&str, &str); 16] = [
     ("{{ip}}", "10.1.0.26"),
     ("{{zone}}", "kgn-a"),
     ("{{node-name}}", "core-kgn-a-1"),
@@ -20,6 +20,7 @@
     ("{{listen-addrs.readiness}}", "10.1.0.26:8460"),
     ("{{listen-addrs.control-plane}}", "10.1.0.26:8462"),
     ("{{cloud-api.address}}", "10.200.0.2:8466"),
+    ("{{bounds.drain-ms}}", "7000"),
     ("{{bounds.revoke-ms}}", "5000"),
     ("{{bounds.quota-window-s}}", "5"),
     ("{{bounds.quota-overage}}", "0.1"),
@@ -58,5 +59,10 @@
             cfg.spread.grace() < Duration::from_secs(5),
             "a host without confirmation accepts a withdrawn key for 5 s or longer"
         );
+        assert_eq!(cfg.owner.drain_timeout, Duration::from_secs(7));
+        assert!(
+            cfg.spread.announce_lease < cfg.owner.drain_timeout,
+            "an owner that hears nothing of a drain keeps the upstream for longer than the drain"
+        );
     }
 }
