--- a/crates/carawayd/tests/faults.rs
+++ b/crates/carawayd/tests/faults.rs
@@ -305,6 +305,40 @@
     assert!(accepted_at.elapsed() < IN_FORCE_TIMEOUT);
 }
 
+#[tokio::test]
+async fn changes_are_accepted_after_the_disk_of_each_control_host_was_full() {
+    let fleet = start(&three_voters()).await;
+    let addr = fleet.host("entry-1").api;
+    let mut version = 1;
+    for round in 0..6 {
+        let name = format!("control-{}", round % 3 + 1);
+        let log = fleet.data_dir(&name).join("raft.log");
+        // Some bytes of the next record still fit.
+        let len = std::fs::metadata(&log).unwrap().len() + 10;
+        let process = &fleet.host(&name).process;
+        process.limit_file_len(Some(len));
+        for _ in 0..3 {
+            let patch = patch(
+                &format!("change-{version}"),
+                version,
+                vec![rate_change(version as u32)],
+            );
+            version += 1;
+            assert_eq!(submit(addr, patch).await, PatchOutcome::Accepted(version));
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        process.limit_file_len(None);
+        // The next disk is full only after this voter counts again.
+        let api = api_client(fleet.host(&name).api);
+        eventually("the change on that host", IN_FORCE_TIMEOUT, async || {
+            let status = api.status().await;
+            status.is_ok_and(|status| status.version == version)
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+}
+
 #[tokio::test]
 async fn a_fleet_without_its_control_hosts_goes_on_serving_and_failing_over() {
     let mut fleet = start(&one_data_centre()).await;
--- a/crates/carawayd/tests/fleet/process.rs
+++ b/crates/carawayd/tests/fleet/process.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 
+use rustix::process::{Pid, Resource, Rlimit, prlimit};
+
 /// A child process; dropping it kills it.
 pub(crate) struct Process {
     child: Child,
@@ -56,6 +58,15 @@
         assert!(status.success());
     }
 
+    /// Fills the disk for the process, or makes room again: writes fail beyond `len` bytes of a file.
+    pub(crate) fn limit_file_len(&self, len: Option<u64>) {
+        let limit = Rlimit {
+            current: len,
+            maximum: None,
+        };
+        prlimit(Some(Pid::from_child(&self.child)), Resource::Fsize, limit).unwrap();
+    }
+
     /// Waits until the process ends, and returns whether its exit status is success.
     pub(crate) fn wait(&mut self) -> bool {
         self.child.wait().unwrap().success()
--- a/crates/carawayd/tests/soak.rs
+++ b/crates/carawayd/tests/soak.rs
@@ -59,6 +59,8 @@
     PauseUpstream,
     /// Sets the mode of the relay between a caller and its host for a while.
     Link(RelayMode),
+    /// Fills the disk of a control host for a while.
+    FillDisk,
     /// Submits a patch to the configuration.
     Patch,
 }
@@ -172,11 +174,22 @@
 /// How a fault is repaired; the number is the index of the host, upstream or relay.
 enum Repair {
     ResumeHost(usize),
+    EmptyDisk(usize),
     ResumeUpstream(usize),
     RestoreLink(usize),
     RestartHost(usize),
 }
 
+impl Repair {
+    /// Returns the index of the host with the fault, if a host has it.
+    fn host(&self) -> Option<usize> {
+        match self {
+            Self::ResumeHost(nth) | Self::EmptyDisk(nth) | Self::RestartHost(nth) => Some(*nth),
+            Self::ResumeUpstream(_) | Self::RestoreLink(_) => None,
+        }
+    }
+}
+
 impl Soak {
     /// Returns whether a fault is in effect whose repair matches.
     fn has_fault(&self, wanted: impl Fn(&Repair) -> bool) -> bool {
@@ -188,14 +201,8 @@
     /// At most one control host has a fault at a time, so that the quorum keeps a majority.
     fn pick_host(&mut self) -> Option<usize> {
         let control = |nth: usize| plans()[nth].control;
-        let faulty = |nth: usize| {
-            self.has_fault(
-                |end| matches!(end, Repair::ResumeHost(n) | Repair::RestartHost(n) if *n == nth),
-            )
-        };
-        let control_faulty = self.has_fault(
-            |end| matches!(end, Repair::ResumeHost(n) | Repair::RestartHost(n) if control(*n)),
-        );
+        let faulty = |nth: usize| self.has_fault(|end| end.host() == Some(nth));
+        let control_faulty = self.has_fault(|end| end.host().is_some_and(control));
         let hosts = (0..self.fleet.hosts.len()).filter(|nth| !faulty(*nth));
         let hosts: Vec<usize> = hosts
             .filter(|nth| !(control_faulty && control(*nth)))
@@ -223,6 +230,17 @@
                 self.repairs
                     .push((now + fault_duration, Repair::RestartHost(nth)));
             }
+            Fault::FillDisk => {
+                let Some(nth) = self.pick_host().filter(|nth| plans()[*nth].control) else {
+                    return;
+                };
+                let host = &self.fleet.hosts[nth];
+                let log = self.fleet.data_dir(&host.name).join("raft.log");
+                let len = std::fs::metadata(&log).unwrap().len();
+                host.process.limit_file_len(Some(len));
+                self.repairs
+                    .push((now + fault_duration, Repair::EmptyDisk(nth)));
+            }
             Fault::PauseUpstream => {
                 // A group of three tolerates the loss of one upstream.
                 if self.has_fault(|end| matches!(end, Repair::ResumeUpstream(_))) {
@@ -288,6 +306,7 @@
         while let Some(index) = self.repairs.iter().position(|(until, _)| *until <= now) {
             match self.repairs.swap_remove(index).1 {
                 Repair::ResumeHost(nth) => self.fleet.hosts[nth].process.signal("CONT"),
+                Repair::EmptyDisk(nth) => self.fleet.hosts[nth].process.limit_file_len(None),
                 Repair::ResumeUpstream(nth) => self.fleet.upstreams[nth].signal("CONT"),
                 Repair::RestoreLink(nth) => self.relays[nth].set_mode(RelayMode::Pass),
                 Repair::RestartHost(nth) => {
@@ -306,7 +325,7 @@
 }
 
 fn random_fault(rng: &mut SmallRng) -> Fault {
-    match rng.random_range(0..10) {
+    match rng.random_range(0..12) {
         0 | 1 => Fault::PauseHost,
         2 | 3 => Fault::KillHost,
         4 => Fault::StopHost,
@@ -316,6 +335,7 @@
         8 => Fault::Link(RelayMode::Delay(Duration::from_millis(
             rng.random_range(1..80),
         ))),
+        9 | 10 => Fault::FillDisk,
         _ => Fault::Patch,
     }
 }
