soak: let upstreams reach restarted hosts

Seed 101 (20 s) failed twice, also when run alone: no caller was served within 20 s after the faults had ended. Its logs: all nine hosts were started at least twice; the three upstreams lapsed at once (511), then 101 parked reason=NoPrimary until the end. The hosts took another API port with each start, while the stand-ins announce themselves to the addresses of the first start: once every host had been restarted, none received an announcement. In a deployment these addresses stay.

A host of the tests now keeps its API address over restarts; the check stays as it was.

--- a/crates/carawayd/tests/fleet/mod.rs
+++ b/crates/carawayd/tests/fleet/mod.rs
@@ -95,6 +95,8 @@
     fn write_settings(&self, plan: &HostPlan) -> PathBuf {
         let peers = self.control.iter().find(|(name, _)| name == plan.name);
         let peers = peers.map_or("127.0.0.1:0".to_owned(), |(_, addr)| addr.to_string());
+        // Upstreams announce themselves to this address also after a restart of the host.
+        let api = free_addr();
         let data = self.folder.path().join(plan.name);
         let control: String = self
             .control
@@ -106,7 +108,7 @@
         let text = format!(
             "host = \"{}\"\ndata_centre = \"{}\"\nentry = {}\ncontrol = {}\ndata_dir = {:?}\n\
              fleet_secret = \"test\"\n\
-             {control}\n[listen]\ncallers = \"127.0.0.1:0\"\npeers = \"{peers}\"\napi = \"127.0.0.1:0\"\n\
+             {control}\n[listen]\ncallers = \"127.0.0.1:0\"\npeers = \"{peers}\"\napi = \"{api}\"\n\
              metrics = \"127.0.0.1:0\"\n\
              {}\n",
             plan.name, plan.data_centre, plan.entry, plan.control, data, self.extra
--- a/crates/carawayd/tests/soak.rs
+++ b/crates/carawayd/tests/soak.rs
@@ -30,7 +30,9 @@
 /// Seeds that have failed; they are run unless `SOAK_SEEDS` is set, as in CI.
 ///
 /// 6: the check itself counted a read answered with "may have run" as a violation.
-const REGRESSION_SEEDS: [u64; 1] = [6];
+/// 101: each host had been restarted and had another API address, so that no host received the
+/// announcements of the upstreams.
+const REGRESSION_SEEDS: [u64; 2] = [6, 101];
 /// Another seed that is run unless `SOAK_SEEDS` is set.
 const CI_SEED: u64 = 1;
 /// The time within which an accepted configuration must be in force on all hosts.
