--- a/crates/decide/tests/authority.rs
+++ b/crates/decide/tests/authority.rs
@@ -264,6 +264,22 @@
         }
     }
 
+    /// Lets the primary announce that it drains while the platform does not answer, and returns the
+    /// successor that is ordered first.
+    fn drain_primary_on_silent_platform(&mut self) -> UpstreamId {
+        self.run(Duration::from_secs(4));
+        self.platform_answers = false;
+        self.instances.get_mut("a").unwrap().draining = true;
+        self.announce(&["a", "b", "c"]);
+        self.run(Duration::from_secs(1));
+        self.orders[0].upstream.clone()
+    }
+
+    fn none_is_fenced(&self) -> bool {
+        let mut instances = self.instances.values();
+        instances.all(|instance| instance.fenced_term == 0)
+    }
+
     fn ordered_upstreams(&self) -> Vec<&str> {
         self.orders.iter().map(|order| &*order.upstream).collect()
     }
@@ -320,12 +336,7 @@
     world.instances.get_mut("a").unwrap().reachable = true;
     world.run(Duration::from_secs(10));
     assert_eq!(world.orders.len(), 1, "{:?}", world.orders);
-    assert!(
-        world
-            .instances
-            .values()
-            .all(|instance| instance.fenced_term == 0)
-    );
+    assert!(world.none_is_fenced());
 }
 
 #[test]
@@ -339,12 +350,7 @@
     world.instances.get_mut("a").unwrap().position = Position::new(1, 99);
     world.run(Duration::from_secs(6));
     assert_eq!(world.ordered_upstreams(), ["a"]);
-    assert!(
-        world
-            .instances
-            .values()
-            .all(|instance| instance.fenced_term == 0)
-    );
+    assert!(world.none_is_fenced());
 }
 
 #[test]
@@ -369,38 +375,24 @@
 #[test]
 fn a_draining_primary_is_not_ordered_to_lead_on_while_the_order_for_its_successor_is_in_doubt() {
     let mut world = World::new();
-    world.run(Duration::from_secs(4));
-    world.platform_answers = false;
-    world.instances.get_mut("a").unwrap().draining = true;
-    world.announce(&["a", "b", "c"]);
-    world.run(Duration::from_secs(12));
+    let successor = world.drain_primary_on_silent_platform();
+    world.run(Duration::from_secs(11));
     let ordered = world.ordered_upstreams();
     assert!(ordered.len() > 1, "the order was not given again");
     assert!(
-        ordered.iter().all(|id| *id == ordered[0] && *id != "a"),
+        ordered.iter().all(|id| **id == *successor && *id != "a"),
         "orders in turn: {ordered:?}"
     );
     world.platform_answers = true;
     world.run(Duration::from_secs(5));
-    let successor = world.orders[0].upstream.clone();
     assert_eq!(world.primary, Some((2, successor)));
-    assert!(
-        world
-            .instances
-            .values()
-            .all(|instance| instance.fenced_term == 0)
-    );
+    assert!(world.none_is_fenced());
 }
 
 #[test]
 fn a_successor_with_less_than_a_restarted_replica_is_not_ordered_again() {
     let mut world = World::new();
-    world.run(Duration::from_secs(4));
-    world.platform_answers = false;
-    world.instances.get_mut("a").unwrap().draining = true;
-    world.announce(&["a", "b", "c"]);
-    world.run(Duration::from_secs(1));
-    let successor = world.orders[0].upstream.clone();
+    let successor = world.drain_primary_on_silent_platform();
     let other = if &*successor == "b" { "c" } else { "b" };
     let restarted = world.instances.get_mut(other).unwrap();
     restarted.incarnation += 1;
@@ -419,12 +411,7 @@
 #[test]
 fn an_order_that_is_carried_out_late_and_then_given_again_loses_no_write() {
     let mut world = World::new();
-    world.run(Duration::from_secs(4));
-    world.platform_answers = false;
-    world.instances.get_mut("a").unwrap().draining = true;
-    world.announce(&["a", "b", "c"]);
-    world.run(Duration::from_secs(1));
-    let successor = world.orders[0].upstream.clone();
+    let successor = world.drain_primary_on_silent_platform();
     world.promote(&successor);
     // The former primary isn't fenced, so it receives the writes of the new term.
     for id in ["a", &*successor] {
--- a/crates/decide/tests/raft/full_disks.rs
+++ b/crates/decide/tests/raft/full_disks.rs
@@ -9,15 +9,6 @@
 
 use crate::harness::{Sim, service_patch};
 
-/// Starts a cluster of three voters with one accepted patch.
-fn start_with_patch(seed: u64) -> Sim {
-    let mut sim = Sim::new(seed, &["a", "b", "c"]);
-    sim.settings.raft.auto_members = true;
-    sim.patch_until_decided("x", service_patch("first", 0));
-    sim.run_for(Duration::from_millis(500));
-    sim
-}
-
 /// Returns a voter that does not lead.
 fn follower(sim: &Sim) -> HostId {
     let leader = sim.leader().expect("a leader");
@@ -52,7 +43,7 @@
 #[test]
 fn changes_are_committed_after_each_disk_was_full_in_turn() {
     for seed in 0..20 {
-        let mut sim = start_with_patch(seed);
+        let mut sim = Sim::start_with_patch(seed);
         for (round, name) in ["a", "b", "c", "a"].into_iter().enumerate() {
             sim.fill_disk(name, Duration::from_secs(3));
             let patch = service_patch(&format!("round-{round}"), sim.newest_version());
@@ -75,7 +66,7 @@
 
 #[test]
 fn entries_are_not_sent_again_at_each_heartbeat_to_a_member_whose_disk_is_full() {
-    let mut sim = start_with_patch(1);
+    let mut sim = Sim::start_with_patch(1);
     let full = follower(&sim);
     sim.fill_disk(&full, Duration::from_secs(3));
     sim.patch_until_decided("x", service_patch("second", sim.newest_version()));
@@ -96,7 +87,7 @@
 
 #[test]
 fn a_member_whose_disk_is_full_for_long_holds_few_messages() {
-    let mut sim = start_with_patch(1);
+    let mut sim = Sim::start_with_patch(1);
     let full = follower(&sim);
     let long = Duration::from_secs(60);
     sim.fill_disk(&full, long);
--- a/crates/decide/tests/raft/harness.rs
+++ b/crates/decide/tests/raft/harness.rs
@@ -151,6 +151,15 @@
         sim
     }
 
+    /// Starts three voters with `auto_members` and one accepted patch.
+    pub(crate) fn start_with_patch(seed: u64) -> Self {
+        let mut sim = Self::new(seed, &["a", "b", "c"]);
+        sim.settings.raft.auto_members = true;
+        sim.patch_until_decided("x", service_patch("first", 0));
+        sim.run_for(Duration::from_millis(200));
+        sim
+    }
+
     /// Adds and starts a host, with a new disk if it is a control host.
     pub(crate) fn add_host(&mut self, name: &str, control: bool) {
         let disk = control.then(|| PersistentState::empty(self.rng.random_range(1..u64::MAX)));
--- a/crates/decide/tests/raft/lost_disks.rs
+++ b/crates/decide/tests/raft/lost_disks.rs
@@ -3,23 +3,14 @@
 
 use std::time::Duration;
 
-use crate::harness::{Sim, service_patch};
-
-/// Starts voters with `auto_members` and one accepted patch.
-fn start_with_patch(seed: u64) -> Sim {
-    let mut sim = Sim::new(seed, &["a", "b", "c"]);
-    sim.settings.raft.auto_members = true;
-    sim.patch_until_decided("x", service_patch("first", 0));
-    sim.run_for(Duration::from_millis(200));
-    sim
-}
+use crate::harness::Sim;
 
 /// Guards against waiting for `lost_after` before a new store is promoted: a second disk may be
 /// lost as soon as the first host is back.
 #[test]
 fn a_new_store_of_a_voters_host_becomes_voter_before_lost_after() {
     for seed in 0..20 {
-        let mut sim = start_with_patch(seed);
+        let mut sim = Sim::start_with_patch(seed);
         for round in 0..4 {
             let name = ["a", "b", "c"][(seed as usize + round) % 3];
             sim.wipe_host(name);
