--- a/crates/carawayd/src/run.rs
+++ b/crates/carawayd/src/run.rs
@@ -9,7 +9,7 @@
 use host::settings_file::{self, SettingsError};
 use host::{Daemon, HostSettings, Postgres, RunningHost, logs};
 use platform::Platform;
-use rustix::process::Signal as Signo;
+use rustix::process::Signal as SignalNumber;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::BAD_SETTINGS;
@@ -80,7 +80,7 @@
         let hangup = signal(SignalKind::hangup())?;
         // A write beyond the limit on file sizes fails then, as on a full disk, instead of ending
         // the process.
-        let _file_too_large = signal(SignalKind::from_raw(Signo::XFSZ.as_raw()))?;
+        let _file_too_large = signal(SignalKind::from_raw(SignalNumber::XFSZ.as_raw()))?;
         let mut running = match cfg.protocol {
             ProtocolKind::Postgres => Daemon::start::<Postgres>(cfg).await?,
             ProtocolKind::Platform => Daemon::start::<Platform>(cfg).await?,
