--- a/crates/carawayd/tests/fleet/mod.rs
+++ b/crates/carawayd/tests/fleet/mod.rs
@@ -6,8 +6,9 @@
 pub(crate) mod process;
 pub(crate) mod relay;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use process::Process;
@@ -64,10 +65,24 @@
     settings: PathBuf,
 }
 
-/// Returns a loopback address that nothing listens on at the moment.
+/// The first port that `free_addr` tries.
+const FIRST_PORT: u16 = 20_000;
+
+/// Returns a loopback address that stays free until the caller listens on it.
+///
+/// The process id chooses its IP address: on 127.0.0.1, an outgoing connection or a listener of
+/// another test could take the port in the meantime.
 pub(crate) fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 64 | (high & 63), middle, low);
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let addr = SocketAddr::from((ip, port));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 impl Fleet {
