spread: count no announcement as just sent that was passed on or read late

Callers: requests may reach a draining primary after its drain time (DRAIN). An owner counts that time from the last announcement by which the instance did not drain, and took the moment of reading for the moment of sending.

Cause, class: the age of a message was taken to be zero.

Both renew the lease as before, but leave the time of the last ready announcement where it was, so a drain can be taken for older than it is, and never for younger. For dead_after (1.5 s) after a pause an owner trusts no announcement's time, as it may still read its backlog.

--- a/crates/decide/src/spread.rs
+++ b/crates/decide/src/spread.rs
@@ -100,6 +100,8 @@
     /// When this host last tried dead hosts of its data centre that may have restarted.
     pub(crate) last_return_search: Instant,
     pub(crate) last_tick: Instant,
+    /// When this host last resumed after a pause; what arrived during the pause is read after that.
+    pub(crate) resumed_at: Option<Instant>,
     /// When the queued facts are to be sent.
     pub(crate) flush_at: Option<Instant>,
     /// Whether the seeds' addresses were passed on and this host's first fact was published.
@@ -147,6 +149,7 @@
             next_forget: now,
             last_return_search: now,
             last_tick: now,
+            resumed_at: None,
             flush_at: None,
             is_started: false,
             config: ConfigInForce::new(now),
@@ -171,6 +174,9 @@
     /// Sends heartbeats and queued facts that are due, and checks deadlines.
     pub fn on_tick(&mut self, cx: &mut Cx<'_>) {
         self.start_once(cx);
+        if self.was_paused(cx) {
+            self.resumed_at = Some(cx.now);
+        }
         if cx.now >= self.next_heartbeat {
             self.heartbeat_round(cx);
         }
@@ -191,7 +197,7 @@
             SpreadMsg::Facts { position, facts } => self.on_facts(cx, &from, position, facts),
             SpreadMsg::Config(update) => self.on_config_update(cx, &from, *update),
             SpreadMsg::Versions(rows) => self.on_versions(&rows),
-            SpreadMsg::Announce(announcement) => self.accept_announcement(cx, &announcement),
+            SpreadMsg::Announce(announcement) => self.on_announce(cx, &from, &announcement),
             SpreadMsg::AskRenewal { upstream, sequence } => {
                 self.on_ask_renewal(cx, &from, &upstream, sequence);
             }
@@ -420,7 +426,12 @@
 
     /// Returns whether this host is an owner of an upstream.
     pub(crate) fn owns(&self, upstream: &UpstreamId) -> bool {
+        self.is_owner(&self.me.host, upstream)
+    }
+
+    /// Returns whether a host is one of the owners of a live upstream.
+    pub(crate) fn is_owner(&self, host: &HostId, upstream: &UpstreamId) -> bool {
         let view = self.tables.upstreams().get(upstream);
-        view.is_some_and(|view| view.owners.contains(&self.me.host))
+        view.is_some_and(|view| view.owners.contains(host))
     }
 }
--- a/crates/decide/src/spread/announce.rs
+++ b/crates/decide/src/spread/announce.rs
@@ -6,7 +6,7 @@
 
 use crate::Cx;
 use crate::spread::Spread;
-use crate::spread::announcement_lease::LeaseAction;
+use crate::spread::announcement_lease::{LeaseAction, SendTime};
 use crate::spread::facts::{Fact, FactKey};
 use crate::spread::msg::SpreadMsg;
 
@@ -19,12 +19,13 @@
         let owners = self
             .tables
             .owners(&announcement.upstream, &announcement.data_centre);
+        let sent = self.send_time_of_arrivals(cx);
         if owners.is_empty() {
-            self.accept_announcement(cx, &announcement);
+            self.accept_announcement(cx, &announcement, sent);
         }
         for owner in owners {
             if owner == self.me.host {
-                self.accept_announcement(cx, &announcement);
+                self.accept_announcement(cx, &announcement, sent);
             } else {
                 let msg = SpreadMsg::Announce(Box::new(announcement.clone()));
                 cx.send_control(&owner, msg);
@@ -45,10 +46,47 @@
         }
     }
 
+    /// Handles an announcement that another host has forwarded to this owner.
+    ///
+    /// An owner that has been asked for a renewal may pass on one that it has had for some time.
+    pub(crate) fn on_announce(
+        &mut self,
+        cx: &mut Cx<'_>,
+        from: &HostId,
+        announcement: &Announcement,
+    ) {
+        let upstream = &announcement.upstream;
+        let sent = if self.leases.is_renewal_asked(upstream) && self.is_owner(from, upstream) {
+            SendTime::Unknown
+        } else {
+            self.send_time_of_arrivals(cx)
+        };
+        self.accept_announcement(cx, announcement, sent);
+    }
+
+    /// Returns what is known of when a message that is handled now was sent.
+    ///
+    /// While this host reads what arrived during a pause, that may be long ago.
+    fn send_time_of_arrivals(&self, cx: &Cx<'_>) -> SendTime {
+        let reads_backlog = self
+            .resumed_at
+            .is_some_and(|at| cx.now < at + cx.settings.spread.dead_after);
+        if reads_backlog || self.was_paused(cx) {
+            SendTime::Unknown
+        } else {
+            SendTime::JustNow
+        }
+    }
+
     /// Renews the lease of an announcement as an owner of the upstream.
     ///
     /// It publishes the announcement as a fact only if more than the sequence has changed.
-    pub(crate) fn accept_announcement(&mut self, cx: &mut Cx<'_>, announcement: &Announcement) {
+    fn accept_announcement(
+        &mut self,
+        cx: &mut Cx<'_>,
+        announcement: &Announcement,
+        sent: SendTime,
+    ) {
         let live = !announcement.leaving;
         let known = self.upstream_fact(&announcement.upstream);
         if known.is_some_and(|(known, live)| makes_outdated(known, live, announcement)) {
@@ -58,7 +96,7 @@
             was_live != live || !same_but_sequence(known, announcement)
         });
         let lease = cx.settings.spread.announce_lease;
-        if !self.leases.renew(announcement, cx.now, lease) {
+        if !self.leases.renew(announcement, sent, cx.now, lease) {
             return;
         }
         if changed {
@@ -122,7 +160,9 @@
                 continue;
             };
             if view.owners.contains(&self.me.host) {
-                self.leases.grant(&view.announcement, cx.now, lease);
+                let announcement = &view.announcement;
+                self.leases
+                    .renew(announcement, SendTime::Unknown, cx.now, lease);
             } else {
                 self.leases.end(&upstream);
             }
--- a/crates/decide/src/spread/announcement_lease.rs
+++ b/crates/decide/src/spread/announcement_lease.rs
@@ -17,13 +17,22 @@
 struct AnnouncementLease {
     announcement: Announcement,
     renewed_at: Instant,
-    /// When the upstream's last announcement came by which it does not drain.
+    /// When the last announcement was sent by which the upstream does not drain, as far as known.
     last_ready_at: Option<Instant>,
     next_action_at: Instant,
     /// Whether the other owners have been asked for a later renewal.
     renewal_asked: bool,
 }
 
+/// What is known of when an announcement was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendTime {
+    /// It has just been sent.
+    JustNow,
+    /// Another host has had it, or it has waited to be read, for a time that is not known.
+    Unknown,
+}
+
 /// What an owner must do now about the lease of an upstream's announcement.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LeaseAction {
@@ -44,34 +53,37 @@
         self.leases.keys()
     }
 
-    /// Returns when an announcement last came by which the upstream does not drain, if one has come
-    /// under the lease that lasts.
+    /// Returns when the last announcement was sent by which the upstream does not drain, or a time
+    /// before that; `None` if it is not known.
     pub fn last_ready_at(&self, upstream: &UpstreamId) -> Option<Instant> {
         self.leases.get(upstream)?.last_ready_at
     }
 
-    /// Grants or renews a lease for an announcement that the upstream has sent just now; returns
-    /// false if it is not newer than the last.
-    pub fn renew(&mut self, announcement: &Announcement, now: Instant, lease: Duration) -> bool {
-        let is_new = self.grant(announcement, now, lease);
-        if let Some(lease) = self.leases.get_mut(&announcement.upstream)
-            && is_new
-            && !announcement.draining
-        {
-            lease.last_ready_at = Some(now);
-        }
-        is_new
+    /// Returns whether the other owners have been asked for a renewal, and none has come since.
+    pub fn is_renewal_asked(&self, upstream: &UpstreamId) -> bool {
+        let lease = self.leases.get(upstream);
+        lease.is_some_and(|lease| lease.renewal_asked)
     }
 
-    /// Grants or renews a lease for an announcement that other hosts have passed on; returns false
-    /// if it is not newer than the last.
-    pub fn grant(&mut self, announcement: &Announcement, now: Instant, lease: Duration) -> bool {
+    /// Grants or renews a lease; returns false if the announcement is not newer than the last.
+    pub fn renew(
+        &mut self,
+        announcement: &Announcement,
+        sent: SendTime,
+        now: Instant,
+        lease: Duration,
+    ) -> bool {
         let known = self.get(&announcement.upstream);
         if known.is_some_and(|known| known.recency() >= announcement.recency()) {
             return false;
         }
         let same_start = known.is_some_and(|known| known.incarnation == announcement.incarnation);
-        let last_ready_at = self.last_ready_at(&announcement.upstream);
+        let last_ready_at = if sent == SendTime::JustNow && !announcement.draining {
+            Some(now)
+        } else {
+            self.last_ready_at(&announcement.upstream)
+                .filter(|_| same_start)
+        };
         self.end(&announcement.upstream);
         let next_action_at = now + renewal_ask_delay(lease);
         let upstream = announcement.upstream.clone();
@@ -79,7 +91,7 @@
         let lease = AnnouncementLease {
             announcement: announcement.clone(),
             renewed_at: now,
-            last_ready_at: last_ready_at.filter(|_| same_start),
+            last_ready_at,
             next_action_at,
             renewal_asked: false,
         };
--- a/crates/decide/src/spread/heartbeat.rs
+++ b/crates/decide/src/spread/heartbeat.rs
@@ -18,8 +18,7 @@
         let heartbeat = cx.settings.spread.heartbeat;
         let jitter_percent = rand::Rng::random_range(cx.rng, 90..110);
         self.next_heartbeat = cx.now + heartbeat * jitter_percent / 100;
-        let since_last_tick = cx.now.saturating_duration_since(self.last_tick);
-        if since_last_tick >= cx.settings.spread.dead_after / 2 {
+        if self.was_paused(cx) {
             self.links
                 .values_mut()
                 .for_each(|link| link.last_heard = cx.now);
@@ -37,6 +36,12 @@
         self.flush_facts(cx);
     }
 
+    /// Returns whether this host has not run for a while: it ticks with each heartbeat interval.
+    pub(crate) fn was_paused(&self, cx: &Cx<'_>) -> bool {
+        let since_last_tick = cx.now.saturating_duration_since(self.last_tick);
+        since_last_tick >= cx.settings.spread.dead_after / 2
+    }
+
     /// Updates whether any other host is heard; a host that hears none can't judge the others.
     fn update_heard_since(&mut self, cx: &mut Cx<'_>) {
         let dead_after = cx.settings.spread.dead_after;
--- a/crates/decide/src/view.rs
+++ b/crates/decide/src/view.rs
@@ -32,8 +32,8 @@
     pub announcement: Announcement,
     /// The hosts that may hold connections to it, the highest rendezvous score first.
     pub owners: Vec<HostId>,
-    /// When this host, as an owner, last received an announcement by which the upstream does not
-    /// drain; `None` if it has received none.
+    /// When the last announcement was sent by which the upstream does not drain, or a time before
+    /// that; `None` if this host is no owner or does not know it.
     pub last_ready_at: Option<Instant>,
 }
 
--- a/crates/decide/tests/spread_leases.rs
+++ b/crates/decide/tests/spread_leases.rs
@@ -195,3 +195,54 @@
         "a time that the restarted owner can't know"
     );
 }
+
+#[test]
+fn a_renewal_that_another_owner_passes_on_does_not_count_as_just_sent() {
+    let mut net = converged_fleet(13, 8);
+    let owners = owners(&net);
+    let mut newest = net.announced_upstreams.remove("u").expect("announced");
+    newest.sequence += 1;
+    let sent_at = net.now;
+    let link = (owners[1].clone(), owners[0].clone());
+    net.blocked_pairs.insert(link.clone());
+    net.announce_at(&owners[1], &newest);
+    net.run(SECOND / 10);
+    net.blocked_pairs.remove(&link);
+    net.run(5 * SECOND / 2);
+    let view = net.view(&owners[0]);
+    let seen = view.upstreams.get("u").expect("renewed by the other owner");
+    assert!(
+        seen.last_ready_at.is_none_or(|at| at <= sent_at),
+        "a renewal sent {:?} earlier counts as just sent",
+        seen.last_ready_at.map(|at| at - sent_at)
+    );
+}
+
+#[test]
+fn a_ready_announcement_read_after_a_pause_does_not_count_as_just_sent() {
+    for (paused_for, seed) in [(2 * SECOND, 9), (5 * SECOND, 10)] {
+        let mut net = converged_fleet(13, seed);
+        let owner = owners(&net)[0].clone();
+        net.pause(&owner);
+        net.run(SECOND);
+        let drains_since = net.now;
+        net.announced_upstreams
+            .get_mut("u")
+            .expect("announced")
+            .draining = true;
+        net.run(paused_for - SECOND);
+        net.resume(&owner);
+        for _ in 0..30 {
+            net.run(SECOND / 10);
+            let view = net.view(&owner);
+            let last_ready_at = view.upstreams.get("u").and_then(|seen| seen.last_ready_at);
+            assert!(
+                last_ready_at.is_none_or(|at| at <= drains_since),
+                "after a pause of {paused_for:?} the upstream seems to have been ready {:?} after \
+                 it began to drain",
+                last_ready_at.map(|at| at - drains_since)
+            );
+        }
+        assert!(net.view(&owner).upstreams["u"].announcement.draining);
+    }
+}
--- a/crates/decide/tests/spread_net/mod.rs
+++ b/crates/decide/tests/spread_net/mod.rs
@@ -75,6 +75,8 @@
     pub(crate) rng: SmallRng,
     /// Deliveries and broken connections by time, and in order of scheduling at one time.
     queue: BTreeMap<(Instant, u64), NetEvent>,
+    /// The paused hosts, with what has arrived for each since.
+    backlogs: BTreeMap<HostId, Vec<NetEvent>>,
     /// The times at which running hosts want a tick.
     wake_times: BTreeSet<(Instant, HostId)>,
     wake_time_of: BTreeMap<HostId, Instant>,
@@ -125,6 +127,7 @@
             count_bytes: false,
             rng: SmallRng::seed_from_u64(seed),
             queue: BTreeMap::new(),
+            backlogs: BTreeMap::new(),
             wake_times: BTreeSet::new(),
             wake_time_of: BTreeMap::new(),
             last_arrival: BTreeMap::new(),
@@ -168,12 +171,21 @@
         self.update_wake_time(host);
     }
 
-    /// Continues a host that `kill` stopped, with its state, as after a pause of its process.
+    /// Continues a host that `kill` or `pause` stopped, with its state; it reads its backlog.
     pub(crate) fn resume(&mut self, host: &HostId) {
         self.node(host).running = true;
+        for event in self.backlogs.remove(host).unwrap_or_default() {
+            self.schedule(self.now, event);
+        }
         self.update_wake_time(host);
     }
 
+    /// Stops a host like a frozen process: what arrives for it waits until `resume`.
+    pub(crate) fn pause(&mut self, host: &HostId) {
+        self.kill(host);
+        self.backlogs.insert(host.clone(), Vec::new());
+    }
+
     /// Restarts a host with a higher incarnation and, on a voter, the configuration on its disk.
     pub(crate) fn restart(&mut self, host: &HostId) {
         let mut info = self.nodes[host].info.clone();
@@ -383,6 +395,9 @@
                     .blocked_one_way
                     .contains(&(from.host.clone(), to.clone()));
                 if !lost && self.is_connected(&from.host, &to) && self.nodes[&from.host].running {
+                    if let Some(backlog) = self.backlogs.get_mut(&to) {
+                        return backlog.push(NetEvent::Message(from, to, msg));
+                    }
                     self.with_spread(&to, |spread, cx| spread.on_msg(cx, from, *msg));
                 }
             }
