owner: end new requests to a draining upstream before a held-up announcement can mislead

A link may hold an announcement up until its silence ends it, after 2 s (host::link), so an owner can take a drain for that much younger than it is; by the time that the owner counts as connected again, requests may still reach the instance after its drain time. New requests now end 2.5 s before the drain time instead of 0.5 s.

owner: new_requests_to_a_draining_primary_end_in_time_although_its_last_announcement_was_held_up failed before (run-on c1 eight seconds into a drain time of ten).

--- a/crates/decide/src/owner/drain.rs
+++ b/crates/decide/src/owner/drain.rs
@@ -13,7 +13,9 @@
 use crate::view::UpstreamView;
 
 /// New requests end this much before `drain_timeout`, for their way to the upstream.
-const DRAIN_MARGIN: Duration = Duration::from_millis(500);
+const REQUEST_MARGIN: Duration = Duration::from_millis(500);
+/// They end earlier by this, as a link may hold up an announcement until its silence ends it.
+const ANNOUNCEMENT_MARGIN: Duration = Duration::from_secs(2);
 
 /// Whether an upstream drains, and until when it gets new requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -54,15 +56,16 @@
 impl<Q: QueueDiscipline, W: WaitPolicy> Upstream<Q, W> {
     /// Updates from a view whether the upstream drains.
     ///
-    /// The time counts from the last announcement by which it did not drain. An owner that has
-    /// received none can't tell how long ago the drain began, and ends the work at once.
+    /// The time counts from the last announcement by which it did not drain. An owner that knows
+    /// of none can't tell how long ago the drain began, and ends the work at once.
     pub(crate) fn update_drain(&mut self, cx: &Cx<'_>, seen: Option<&UpstreamView>) {
         let Some(seen) = seen.filter(|seen| seen.announcement.draining) else {
             self.drain = DrainState::Ready;
             return;
         };
         if self.drain == DrainState::Ready {
-            let limit = cx.settings.owner.drain_timeout.saturating_sub(DRAIN_MARGIN);
+            let margin = REQUEST_MARGIN + ANNOUNCEMENT_MARGIN;
+            let limit = cx.settings.owner.drain_timeout.saturating_sub(margin);
             let ends_at = seen.last_ready_at.map_or(cx.now, |at| at + limit);
             self.drain = DrainState::Draining(ends_at);
         }
--- a/crates/decide/tests/owner.rs
+++ b/crates/decide/tests/owner.rs
@@ -56,6 +56,25 @@
     assert_eq!(after, expected);
 }
 
+#[test]
+fn new_requests_to_a_draining_primary_end_in_time_although_its_last_announcement_was_held_up() {
+    let mut harness = OwnerHarness::<Drr>::new();
+    // Links end after two seconds of silence, so an announcement is held up for less.
+    let before = "
+        set warm=1
+        upstream u1
+        primary u1
+        probe u1
+        opened c1
+        upstream u1 draining
+        run 1 kind=write
+        done c1 after=primary@1:1/100
+        advance 8s";
+    harness.run_script(before);
+    let after = harness.run_script("run 2 kind=write");
+    assert_eq!(after, "bounce h1#2 NotOwner\n");
+}
+
 /// Seeds of the simulated arrivals and service times.
 const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
 
