traffic: stay long enough to send back requests when leaving without work

Cause: a leaving part ended as soon as it had no work, which can be within a millisecond. Hosts that had not learned yet that it leaves went on sending it requests, which nobody read; when the link then broke, they could not tell whether the requests had run. Class: news that is relied on before it can have arrived.

route_session: a_host_that_leaves_without_work_still_sends_back_requests_of_hosts_that_do_not_know_it failed before ("it ended at once").

--- a/crates/decide/src/traffic.rs
+++ b/crates/decide/src/traffic.rs
@@ -36,8 +36,14 @@
     commits: CommitTracker,
     /// Whether this host is leaving the fleet, so that the part ends once it has no work left.
     leaving: bool,
+    /// Until when a leaving part does not end even without work.
+    leave_notice_until: Option<Instant>,
 }
 
+/// How many heartbeats a leaving part stays to send requests back: a lost message with the news that
+/// it leaves is noticed at the next heartbeat, and sent again after the one that follows.
+const LEAVE_NOTICE_HEARTBEATS: u32 = 3;
+
 impl TrafficPart {
     /// Returns a traffic part that has just started.
     pub fn new(settings: &Settings) -> Self {
@@ -51,6 +57,7 @@
             owners: OwnedUpstreams::default(),
             commits: CommitTracker::default(),
             leaving: false,
+            leave_notice_until: None,
         }
     }
 
@@ -60,6 +67,7 @@
             self.entry.wake_at(),
             self.owners.wake_at(),
             self.commits.wake_at(),
+            self.leave_notice_until,
         ]
         .into_iter()
         .flatten()
@@ -115,6 +123,7 @@
     }
 
     fn on_tick(&mut self, cx: &mut Cx<'_>) {
+        self.leave_notice_until.take_if(|until| *until <= cx.now);
         self.entry.on_tick(cx, &self.view, &mut self.sessions);
         self.owners.on_tick(cx);
         self.owners.refresh_positions(cx, &self.view);
@@ -241,14 +250,21 @@
     }
 
     /// Admits no new sessions, and ends each present one as soon as it has no open transaction.
+    ///
+    /// Other hosts go on sending requests until they know that this one leaves.
     fn start_leaving(&mut self, cx: &mut Cx<'_>) {
         self.leaving = true;
+        let notice = cx.settings.spread.heartbeat * LEAVE_NOTICE_HEARTBEATS;
+        self.leave_notice_until = Some(cx.now + notice);
         self.sessions.on_leave(cx);
         self.owners.start_leaving(cx);
     }
 
-    /// Returns whether no session and no request is left.
+    /// Returns whether no session and no request is left, and none is to be expected.
     fn is_drained(&self) -> bool {
-        self.sessions.is_empty() && self.entry.is_empty() && self.owners.is_drained()
+        self.leave_notice_until.is_none()
+            && self.sessions.is_empty()
+            && self.entry.is_empty()
+            && self.owners.is_drained()
     }
 }
--- a/crates/decide/tests/route_session.rs
+++ b/crates/decide/tests/route_session.rs
@@ -487,3 +487,30 @@
         "the read was sent {sent} times without time passing"
     );
 }
+
+#[test]
+fn a_host_that_leaves_without_work_still_sends_back_requests_of_hosts_that_do_not_know_it() {
+    let mut sender = hedging_harness(20.0);
+    sender.request(|_| {});
+    let (_, run) = first_run(&take_addressed_msgs(&mut sender));
+    let mut owner = Harness::new();
+    owner.handle(Event::Leave);
+    let ended = |effect: &Effect| matches!(effect, Effect::PartDrained);
+    assert!(!owner.effects.iter().any(ended), "it ended at once");
+    owner.effects.clear();
+    // News of it may be lost with a link, and is sent again with the heartbeats.
+    let notice = 2 * Settings::default().spread.heartbeat;
+    assert!(advance(&mut owner, notice).is_empty());
+    let from = PartAddr {
+        host: "h3".into(),
+        part: 1,
+    };
+    let msg = Msg::Relay(RelayMsg::Run(Box::new(run.clone())));
+    owner.handle(Event::Peer { from, msg });
+    let sent = owner.take_msgs();
+    let bounced = |msg: &RelayMsg| matches!(msg, RelayMsg::Bounce { id, .. } if *id == run.id);
+    assert!(sent.iter().any(bounced), "{sent:?}");
+    owner.now = owner.state.wake_at().expect("the part ends by itself");
+    owner.handle(Event::Tick);
+    assert!(owner.effects.iter().any(ended), "it never ends");
+}
