authority: demote a primary before another instance is ordered to lead

Cause: before an order the leader fenced the replicas that it knew. A replica that starts while the order is open is not fenced; it receives what the old primary writes and so acknowledges it, and the successor lacks it when the order is carried out. From the logs of the core: order 17 at 7.03 s for a successor at 1/124, unanswered; a new instance at 1/139 at 10.64 s; order 17 carried out at 11.85 s. Class: a set that was complete when it was checked, and not when it was relied on.

A primary that answers is now made a replica first (it must be one anyway once the order is carried out). Nobody acknowledges writes until another instance leads, whoever starts meanwhile. The former primary is one of the replicas to choose from, so that it leads again if no replica has all it has; then the next attempt waits for a second. A primary that does not answer can't be demoted: there only the fences help, as before.

An order in doubt for the instance that leads by now is settled: it would change nothing.

--- a/crates/decide/src/authority.rs
+++ b/crates/decide/src/authority.rs
@@ -74,6 +74,8 @@
 pub(crate) enum QueryPurpose {
     /// Regular probe of its status.
     Probe,
+    /// Request to become a replica, with the number of the attempt.
+    Demote(u64),
     /// Request to stop receiving from the primary (to be fenced), with the number of the attempt.
     Fence(u64),
     /// Request to receive from the primary again.
--- a/crates/decide/src/authority/failover.rs
+++ b/crates/decide/src/authority/failover.rs
@@ -1,8 +1,10 @@
 //! Replaces a primary: fences the replicas, chooses a successor, orders its promotion.
 //!
-//! A write is acknowledged once the primary and one replica have it. Once all replicas that
-//! could have received it are fenced, the replica with the highest log position has every
-//! acknowledged write, and no further write can be acknowledged until the order is carried out.
+//! A write is acknowledged once the primary and one replica have it. A primary that answers is
+//! demoted first, since a replica that starts later could otherwise receive and acknowledge writes
+//! that the successor lacks. Once all replicas are fenced, the one with the highest log position
+//! has every acknowledged write, and no further write can be acknowledged until the order is
+//! carried out.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -27,17 +29,40 @@
 
 impl MonitoredService {
     /// Returns the replicas that must be fenced before a successor is chosen: all instances
-    /// except the primary.
+    /// except a primary that still leads or doesn't answer.
     pub(crate) fn replicas_to_fence(&self) -> BTreeSet<UpstreamId> {
         let primary = self.primary.as_ref().map(|(_, id)| id);
-        let replicas = self.members.keys().filter(|id| Some(*id) != primary);
-        replicas.cloned().collect()
+        let replicas = self
+            .members
+            .iter()
+            .filter(|(id, member)| Some(*id) != primary || member.is_replica());
+        replicas.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Sends fence requests to the replicas that are not fenced yet, at an interval of
-    /// `probe_timeout`, and chooses the successor once all are fenced.
+    /// Returns the primary if it leads and must be demoted before a successor is chosen.
+    ///
+    /// One that is kept leads on, unless it drains.
+    fn primary_to_demote(&self) -> Option<&UpstreamId> {
+        let FailoverStage::Fencing { keep_primary, .. } = &self.stage else {
+            return None;
+        };
+        let (_, id) = self.primary.as_ref()?;
+        let leads_on = *keep_primary && !self.drains(id);
+        (self.primary_is_active() && !leads_on).then_some(id)
+    }
+
+    /// Returns whether an instance has announced that it drains.
+    pub(crate) fn drains(&self, id: &UpstreamId) -> bool {
+        let member = self.members.get(id);
+        member.is_some_and(|member| member.announcement.draining)
+    }
+
+    /// Demotes the primary, then fences the replicas, and chooses the successor once all are fenced.
+    ///
+    /// Requests that are not answered are sent again at an interval of `probe_timeout`.
     pub(crate) fn advance_fencing(&mut self, cx: &mut Cx<'_>, outbox: &mut Outbox) {
         let required = self.replicas_to_fence();
+        let to_demote = self.primary_to_demote().cloned();
         let attempt = self.attempt_number;
         self.fenced_by_this_leader = true;
         let FailoverStage::Fencing {
@@ -56,33 +81,36 @@
         });
         *term = (*term).max(self.fence_term);
         let term = *term;
-        let unfenced: Vec<UpstreamId> = required
-            .iter()
-            .filter(|id| !fenced.contains_key(*id))
-            .cloned()
-            .collect();
-        if !unfenced.is_empty() {
+        let unfenced = required.into_iter().filter(|id| !fenced.contains_key(id));
+        let (request, purpose, targets) = match to_demote {
+            Some(primary) => (
+                UpstreamQuery::Demote { term },
+                QueryPurpose::Demote(attempt),
+                vec![primary],
+            ),
+            None => (
+                UpstreamQuery::Pause { term },
+                QueryPurpose::Fence(attempt),
+                unfenced.collect(),
+            ),
+        };
+        if !targets.is_empty() {
             if cx.now < *next_request_at {
                 return;
             }
             *next_request_at = cx.now + cx.settings.group.probe_timeout;
-            for id in unfenced {
+            for id in targets {
                 let Some(member) = self.members.get(&id) else {
                     continue;
                 };
                 let query = PendingQuery {
                     service: self.name.clone(),
                     upstream: id,
-                    purpose: QueryPurpose::Fence(attempt),
+                    purpose,
                     new_connection: member.failed_probes > 0,
                     asked_at: cx.now,
                 };
-                outbox.send(
-                    cx,
-                    query,
-                    member.announcement.addr,
-                    UpstreamQuery::Pause { term },
-                );
+                outbox.send(cx, query, member.announcement.addr, request.clone());
             }
             return;
         }
@@ -106,13 +134,8 @@
         let active_primary = self.primary.as_ref().filter(|_| self.primary_is_active());
         let kept = active_primary.filter(|_| *keep_primary);
         let kept = kept.map(|(_, id)| id.clone());
-        let drains = |id: &UpstreamId| {
-            self.members
-                .get(id)
-                .is_some_and(|m| m.announcement.draining)
-        };
-        if let Some(id) = kept.as_ref().filter(|id| !drains(id)) {
-            return self.request_order(cx, outbox, id, fenced);
+        if let Some(id) = kept {
+            return self.request_order(cx, outbox, &id, fenced);
         }
         let is_available = |id: &UpstreamId| {
             let member = self.members.get(id);
@@ -129,11 +152,6 @@
             })
         };
         let best = best.filter(|(_, (position, _))| has_every_write(*position));
-        // While an order for another instance may still be carried out, only the primary is sure to
-        // have every write, even if it drains.
-        if let Some(id) = kept.filter(|_| !best.is_some_and(|(id, _)| in_doubt(id))) {
-            return self.request_order(cx, outbox, &id, fenced);
-        }
         let Some((chosen, (position, _))) = best else {
             return;
         };
@@ -327,6 +345,33 @@
         }
     }
 
+    /// Handles the primary's answer to the request to become a replica.
+    pub(crate) fn on_demote_reply(
+        &mut self,
+        cx: &mut Cx<'_>,
+        id: &UpstreamId,
+        result: &Result<QueryReply, QueryError>,
+    ) {
+        let FailoverStage::Fencing {
+            next_request_at, ..
+        } = &mut self.stage
+        else {
+            return;
+        };
+        match result {
+            Ok(reply) if reply.granted => {
+                *next_request_at = cx.now;
+                cx.log(AuthorityLogEvent::PrimaryDemoted {
+                    service: self.name.clone(),
+                    upstream: id.clone(),
+                    position: reply.status.position,
+                });
+            }
+            Ok(_) | Err(QueryError::Refused) => self.fence_term += 1,
+            Err(_) => {}
+        }
+    }
+
     /// Handles a replica's answer to a fence request.
     pub(crate) fn on_fence_reply(
         &mut self,
--- a/crates/decide/src/authority/failure_detection.rs
+++ b/crates/decide/src/authority/failure_detection.rs
@@ -63,6 +63,11 @@
         if self.members.is_empty() {
             return None;
         }
+        // An order in doubt for the instance that leads changes nothing if it is carried out.
+        let primary = self.primary.as_ref().map(|(_, id)| id);
+        if self.instance_in_doubt.as_ref() == primary && self.primary_is_active() {
+            self.settle_doubt();
+        }
         // Once the platform has accepted a newer order, it can't carry out the one in doubt.
         if self.order_in_doubt {
             return Some("in-doubt");
--- a/crates/decide/src/authority/log_event.rs
+++ b/crates/decide/src/authority/log_event.rs
@@ -32,6 +32,15 @@
         /// Its log position.
         position: Position,
     },
+    /// The primary that is to be replaced has become a replica.
+    PrimaryDemoted {
+        /// Service of the instance.
+        service: ServiceId,
+        /// Instance that was the primary.
+        upstream: UpstreamId,
+        /// Its log position, which no acknowledged write is above.
+        position: Position,
+    },
     /// The replica that will be promoted was chosen.
     SuccessorChosen {
         /// Service of the replica.
@@ -87,6 +96,7 @@
             Self::PromotionAnswered { .. } => 354,
             Self::PrimaryConfirmed { .. } => 355,
             Self::ReplacementStopped { .. } => 356,
+            Self::PrimaryDemoted { .. } => 357,
         }
     }
 
@@ -161,6 +171,14 @@
                 f,
                 "primary-confirmed service={service} upstream={upstream} term={term}"
             ),
+            Self::PrimaryDemoted {
+                service,
+                upstream,
+                position,
+            } => write!(
+                f,
+                "primary-demoted service={service} upstream={upstream} position={position}"
+            ),
             Self::ReplacementStopped { service, reason } => {
                 write!(f, "replacement-stopped service={service} reason={reason}")
             }
--- a/crates/decide/src/authority/service.rs
+++ b/crates/decide/src/authority/service.rs
@@ -23,6 +23,9 @@
 const ANNOUNCEMENT_WAIT: Duration = Duration::from_secs(3);
 /// Pause after a failed attempt or a change of leader before the next attempt.
 pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Pause before the next attempt to replace a draining primary that leads again because no replica
+/// had all its writes.
+const DRAINING_PRIMARY_PAUSE: Duration = Duration::from_secs(1);
 /// How long a failover waits for the return of a lost replica that may have writes which no
 /// other instance has.
 const LOST_REPLICA_WAIT: Duration = Duration::from_secs(20);
@@ -46,6 +49,14 @@
     pub(crate) lapsed_since: Option<Instant>,
 }
 
+impl MonitoredInstance {
+    /// Returns whether it last reported to be a replica, and answered the last probe.
+    pub(crate) fn is_replica(&self) -> bool {
+        let role = self.status.as_ref().map(|(status, _)| status.role);
+        role == Some(Role::Replica) && self.failed_probes == 0
+    }
+}
+
 /// A replica that is no longer announced and doesn't answer.
 ///
 /// It may have acknowledged writes that no remaining replica has.
@@ -283,10 +294,15 @@
                 member.next_probe_at = member.next_probe_at.min(cx.now + FAST_PROBE_INTERVAL);
             }
         }
-        if let QueryPurpose::Fence(attempt) = query.purpose
-            && attempt == self.attempt_number
-        {
-            self.on_fence_reply(cx, &query.upstream, &result);
+        let upstream = &query.upstream;
+        match query.purpose {
+            QueryPurpose::Demote(attempt) if attempt == self.attempt_number => {
+                self.on_demote_reply(cx, upstream, &result);
+            }
+            QueryPurpose::Fence(attempt) if attempt == self.attempt_number => {
+                self.on_fence_reply(cx, upstream, &result);
+            }
+            _ => {}
         }
         self.step(cx, outbox);
     }
@@ -322,8 +338,13 @@
         if let FailoverStage::ConfirmingPrimary { upstream, .. } = &self.stage
             && upstream == id
         {
+            let pause = if self.drains(id) {
+                DRAINING_PRIMARY_PAUSE
+            } else {
+                Duration::ZERO
+            };
             self.stage = FailoverStage::Idle {
-                next_attempt_at: cx.now,
+                next_attempt_at: cx.now + pause,
             };
             self.settle_doubt();
             self.earlier_orders_void = true;
--- a/crates/decide/src/upstream_query.rs
+++ b/crates/decide/src/upstream_query.rs
@@ -52,6 +52,11 @@
     },
     /// Resumes replication on a replica.
     Resume,
+    /// Makes a primary a replica, so that it acknowledges no further write.
+    Demote {
+        /// A term above all known ones; only primaries of lower terms are demoted.
+        term: Term,
+    },
     /// Makes the upstream follow the primary of a term.
     Follow {
         /// The term.
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -139,6 +139,7 @@
             UpstreamQuery::Follow { .. } => "follow",
             UpstreamQuery::Pause { .. } => "pause",
             UpstreamQuery::Resume => "resume",
+            UpstreamQuery::Demote { .. } => "demote",
         };
         increment(&self.queries, &query_label(kind));
     }
--- a/crates/host/src/pg_adapter.rs
+++ b/crates/host/src/pg_adapter.rs
@@ -164,7 +164,9 @@
             let (primary, addr) = (quote(primary), quote(&addr.to_string()));
             format!("SELECT * FROM caraway.follow({term}, {primary}, {addr})")
         }
-        UpstreamQuery::Pause { .. } | UpstreamQuery::Resume => return None,
+        UpstreamQuery::Pause { .. } | UpstreamQuery::Resume | UpstreamQuery::Demote { .. } => {
+            return None;
+        }
     })
 }
 
