pg: tell callers that a statement sent while their session ends has not run

Callers: a host that stops ends idle sessions with FATAL 57P01. A statement that the caller had sent just then got that error as its answer, without the detail that says whether it may have run, or no error at all, as the system resets a connection that is closed with bytes unread. Worse, a request that was on its way to the part when the session ended was run, and its answer was lost.

The error now says "not run", which is true: the session ends while none of its requests runs. If one is under way, the session ends after its answer.

A connection that ended while idle counts as "not run" only if the host's last message on it says so.

--- a/crates/carawayd/tests/faults.rs
+++ b/crates/carawayd/tests/faults.rs
@@ -11,8 +11,8 @@
 
 use decide::call::PatchOutcome;
 use fleet::client::{
-    PASSWORD, WORKSPACE, api_client, configure, connect, first_value, patch, sqlstate, submit,
-    wait_for_write, wait_in_force,
+    PASSWORD, WORKSPACE, api_client, configure, connect, first_value, open_connection, patch,
+    says_not_run, sqlstate, submit, wait_for_write, wait_in_force,
 };
 use fleet::{Fleet, HostPlan, SERVICE, WAIT_TIMEOUT, eventually, plan};
 use model::config::Change;
@@ -41,7 +41,12 @@
 
 /// Starts hosts and a group of three instances in one data centre.
 async fn start(plans: &[HostPlan]) -> Fleet {
-    let mut fleet = Fleet::start(plans, "");
+    start_with(plans, "").await
+}
+
+/// Does the same with `extra` appended to the settings of every host.
+async fn start_with(plans: &[HostPlan], extra: &str) -> Fleet {
+    let mut fleet = Fleet::start(plans, extra);
     fleet.start_group(["spn"; 3], "lag = \"10ms\"");
     configure(&fleet).await;
     fleet
@@ -59,9 +64,9 @@
         if stop.load(Ordering::Relaxed) {
             break;
         }
-        let open = match client.take() {
+        let (open, connection) = match client.take() {
             Some(open) => open,
-            None => match connect(addr, PASSWORD, "").await {
+            None => match open_connection(addr, PASSWORD, "").await {
                 Ok(open) => open,
                 Err(_) => {
                     tokio::time::sleep(Duration::from_millis(20)).await;
@@ -72,16 +77,19 @@
         let id = format!("{name}-{nth}");
         let sql = format!("INSERT INTO ledger VALUES ('{id}', 'pot', 1)");
         let outcome = match open.simple_query(&sql).await {
-            Ok(_) => WriteOutcome::Acknowledged,
-            Err(error) => match error.as_db_error() {
-                Some(db) if db.detail() == Some("not run") => WriteOutcome::NotRun,
+            Ok(_) => {
+                client = Some((open, connection));
+                WriteOutcome::Acknowledged
+            }
+            Err(error) if says_not_run(&error) => WriteOutcome::NotRun,
+            // The host may have ended the idle session just before; its last message says why.
+            Err(error) if error.is_closed() => match connection.await.unwrap() {
+                Err(end) if says_not_run(&end) => WriteOutcome::NotRun,
                 _ => WriteOutcome::MayHaveRun,
             },
+            Err(_) => WriteOutcome::MayHaveRun,
         };
         outcomes.insert(id, outcome);
-        if !open.is_closed() {
-            client = Some(open);
-        }
     }
     outcomes
 }
@@ -172,9 +180,21 @@
     client.simple_query(sql).await.unwrap();
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread")]
 async fn a_graceful_stop_cuts_no_request() {
-    let mut fleet = start(&one_data_centre()).await;
+    stop_gracefully_beside_writes(start(&one_data_centre()).await).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_graceful_stop_cuts_no_request_of_a_host_that_learns_of_it_late() {
+    let extra = "[spread]\nbatch_delay = \"250ms\"\n";
+    stop_gracefully_beside_writes(start_with(&one_data_centre(), extra).await).await;
+}
+
+/// Stops one of three entry hosts while each serves writes, and checks their outcomes.
+///
+/// The writers need other threads than the test, which blocks until the host has stopped.
+async fn stop_gracefully_beside_writes(mut fleet: Fleet) {
     let stop = Arc::new(AtomicBool::new(false));
     let writers: Vec<_> = ["entry-1", "entry-2", "entry-3"]
         .map(|host| {
--- a/crates/carawayd/tests/fleet/client.rs
+++ b/crates/carawayd/tests/fleet/client.rs
@@ -9,6 +9,7 @@
 use model::KeyDigest;
 use model::config::Change;
 use peer::api::ApiClient;
+use tokio::task::JoinHandle;
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
 
 use super::{Fleet, SERVICE, WAIT_TIMEOUT, eventually};
@@ -119,6 +120,17 @@
     password: &str,
     options: &str,
 ) -> Result<Client, tokio_postgres::Error> {
+    let (client, _) = open_connection(addr, password, options).await?;
+    Ok(client)
+}
+
+/// Connects as [`connect`] does, and also returns the task that ends with the connection, with the
+/// error that ended it.
+pub(crate) async fn open_connection(
+    addr: SocketAddr,
+    password: &str,
+    options: &str,
+) -> Result<(Client, ConnectionTask), tokio_postgres::Error> {
     let mut cfg = tokio_postgres::Config::new();
     cfg.host(addr.ip().to_string())
         .port(addr.port())
@@ -127,8 +139,16 @@
         .password(password)
         .options(options);
     let (client, connection) = cfg.connect(NoTls).await?;
-    tokio::spawn(connection);
-    Ok(client)
+    Ok((client, tokio::spawn(connection)))
+}
+
+/// The task of a connection.
+pub(crate) type ConnectionTask = JoinHandle<Result<(), tokio_postgres::Error>>;
+
+/// Returns whether a host said that the failed request has not run.
+pub(crate) fn says_not_run(error: &tokio_postgres::Error) -> bool {
+    let db = error.as_db_error();
+    db.is_some_and(|db| db.detail() == Some("not run"))
 }
 
 /// The time within which writes must be acknowledged again after the loss of a primary.
--- a/crates/host/src/pg_caller.rs
+++ b/crates/host/src/pg_caller.rs
@@ -13,6 +13,7 @@
 use pgwire::messages::response::SslResponse;
 use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus, SecretKey};
 use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage, SslNegotiationMetaMessage};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
@@ -133,10 +134,11 @@
                             stream.send(session.on_answer(answer)?).await?;
                         }
                     }
-                    Some(ToCaller::EndSession(refusal)) => {
+                    Some(ToCaller::EndSession(refusal)) if running.is_none() => {
                         return send_final_error(stream, reply::fatal_error(refusal)).await;
                     }
-                    Some(ToCaller::LoginFinished(_)) => {}
+                    // A request was on its way to the part, which ends the session after its answer.
+                    Some(ToCaller::EndSession(_) | ToCaller::LoginFinished(_)) => {}
                     None => return Ok(()),
                 },
             }
@@ -213,12 +215,22 @@
     encode_backend(&msgs)
 }
 
-/// Sends the error that ends the session, in bounded time.
+/// Sends the error that ends the session, and reads until the caller has closed the connection, in
+/// bounded time.
+///
+/// If bytes were left unread, the system would reset the connection, and the caller might miss the
+/// error.
 async fn send_final_error<T>(
     stream: &mut Stream,
     error: PgWireBackendMessage,
 ) -> Result<T, CallerGone> {
     let bytes = encode_backend(&[error])?;
-    let _ = timeout(FINAL_ERROR_TIMEOUT, stream.send(bytes)).await;
+    let _ = timeout(FINAL_ERROR_TIMEOUT, async {
+        let sent = stream.send(bytes).await.is_ok();
+        if sent && stream.get_mut().shutdown().await.is_ok() {
+            while next_message(stream).await.is_ok() {}
+        }
+    })
+    .await;
     Err(CallerGone)
 }
--- a/crates/pg/src/reply.rs
+++ b/crates/pg/src/reply.rs
@@ -46,6 +46,8 @@
 }
 
 /// Returns the error of severity FATAL with which a session ends.
+///
+/// A session ends while none of its requests runs, so what the caller has sent meanwhile is not run.
 pub fn fatal_error(refusal: Refusal) -> PgWireBackendMessage {
     let state = match refusal {
         Refusal::NotReady => "57P01",
@@ -53,6 +55,7 @@
     };
     let mut info = error_info("FATAL", state, refusal.reason());
     info.severity_nonlocalized = Some("FATAL".to_owned());
+    info.detail = Some("not run".to_owned());
     PgWireBackendMessage::ErrorResponse(info.into())
 }
 
