spread: never number heartbeats on a link lower than before

Cause: a host dates what a parent says of the configuration by its own heartbeat that the parent echoes, and the parent echoes the highest number that it has received. When the host made the link anew, or the parent's incarnation changed, it counted from one again; until the count had caught up (at three a second), no echo was one that it remembered, so that no confirmation counted. Class: an identifier used again within the life of its reader. Configurations, announcements and facts still arrived, so nothing else failed; with one control host that was not affected nobody noticed.

Numbers now go on from the highest that was ever sent.

--- a/crates/decide/src/spread.rs
+++ b/crates/decide/src/spread.rs
@@ -80,6 +80,8 @@
     pub(crate) cut_off: BTreeSet<DataCentreId>,
     /// The hosts with which this one exchanges heartbeats and streams of facts.
     pub(crate) links: BTreeMap<HostId, Link>,
+    /// The highest number of a heartbeat sent on any link, also on those that were dropped.
+    pub(crate) highest_heartbeat: u32,
     /// Hosts that sent no heartbeats for `dead_after`; their links are dropped.
     pub(crate) unresponsive: BTreeMap<HostId, UnresponsiveHost>,
     /// The other control hosts, from the settings or from facts.
@@ -138,6 +140,7 @@
             gone_since: HashMap::default(),
             tables: FleetTables::default(),
             links: BTreeMap::new(),
+            highest_heartbeat: 0,
             unresponsive: BTreeMap::new(),
             other_control_hosts,
             last_sync_request: None,
--- a/crates/decide/src/spread/heartbeat.rs
+++ b/crates/decide/src/spread/heartbeat.rs
@@ -110,7 +110,8 @@
         let expected = self.expected_children();
         for host in parents.iter().chain(&expected) {
             if !self.links.contains_key(host) {
-                self.links.insert(host.clone(), Link::new(cx.now));
+                let link = Link::new(cx.now, self.highest_heartbeat);
+                self.links.insert(host.clone(), link);
             }
         }
         for (host, link) in &mut self.links {
@@ -199,9 +200,11 @@
         let Some(link) = self.links.get_mut(host) else {
             return;
         };
+        let number = link.next_heartbeat(cx.now);
+        self.highest_heartbeat = self.highest_heartbeat.max(number);
         let heartbeat = Heartbeat {
             incarnation: self.me.incarnation,
-            number: link.next_heartbeat(cx.now),
+            number,
             echo: link.last_number_received,
             is_answer,
             to_parent: link.is_parent,
@@ -287,7 +290,7 @@
                 }
                 return;
             }
-            let mut link = Link::new(cx.now);
+            let mut link = Link::new(cx.now, self.highest_heartbeat);
             if !heartbeat.to_parent {
                 self.introducer = Some(from.clone());
                 link.is_parent = true;
--- a/crates/decide/src/spread/link.rs
+++ b/crates/decide/src/spread/link.rs
@@ -57,7 +57,10 @@
 
 impl Link {
     /// Returns a new link without any role, on which nothing was heard or sent.
-    pub fn new(now: Instant) -> Self {
+    ///
+    /// `last_number` is the highest number of a heartbeat that the other may have received: it echoes
+    /// the highest one, and would echo no lower number.
+    pub fn new(now: Instant, last_number: u32) -> Self {
         Self {
             is_parent: false,
             is_child: false,
@@ -78,7 +81,7 @@
             held_version: None,
             config_sent: None,
             sent_heartbeats: Vec::new(),
-            last_number_sent: 0,
+            last_number_sent: last_number,
         }
     }
 
@@ -101,7 +104,7 @@
         }
         if self.ever_heard && incarnation > self.incarnation {
             let (is_parent, expected_child) = (self.is_parent, self.expected_child);
-            *self = Self::new(now);
+            *self = Self::new(now, self.last_number_sent);
             (self.is_parent, self.expected_child) = (is_parent, expected_child);
         }
         self.incarnation = incarnation;
--- a/crates/decide/tests/spread_in_force.rs
+++ b/crates/decide/tests/spread_in_force.rs
@@ -216,3 +216,44 @@
     net.run(5 * SECOND);
     assert!(net.all_in_force(&home, 1));
 }
+
+/// Returns a fleet that has run for a minute, whose hosts refuse requests 4 s after the last
+/// confirmation of their configuration.
+fn fleet_with_grace() -> Net {
+    let mut net = Net::new(13, 4, 41);
+    net.settings.spread.revoke_within = Some(IN_FORCE_WITHIN);
+    net.commit_next();
+    net.run(60 * SECOND);
+    net
+}
+
+/// Returns the hosts that may not serve by the configuration that they hold.
+fn hosts_without_usable_config(net: &Net) -> Vec<HostId> {
+    let mut hosts = net.hosts();
+    hosts.retain(|host| !net.view(host).config_usable);
+    hosts
+}
+
+#[test]
+fn confirmations_reach_all_hosts_after_all_control_hosts_restarted_at_once() {
+    let mut net = fleet_with_grace();
+    for host in net.quorum.clone() {
+        net.restart(&host);
+    }
+    net.run(8 * SECOND);
+    assert_eq!(hosts_without_usable_config(&net), Vec::<HostId>::new());
+}
+
+#[test]
+fn confirmations_reach_all_hosts_after_all_control_hosts_were_paused() {
+    let mut net = fleet_with_grace();
+    for host in net.quorum.clone() {
+        net.pause(&host);
+    }
+    net.run(3 * SECOND);
+    for host in net.quorum.clone() {
+        net.resume(&host);
+    }
+    net.run(8 * SECOND);
+    assert_eq!(hosts_without_usable_config(&net), Vec::<HostId>::new());
+}
