--- a/crates/decide/tests/group/instance.rs
+++ b/crates/decide/tests/group/instance.rs
@@ -121,7 +121,9 @@
             UpstreamQuery::Promise { term, candidate } => self.promise(*term, candidate),
             UpstreamQuery::Promote { term, candidate } => self.promote(*term, candidate),
             UpstreamQuery::Follow { term, primary, .. } => self.follow(*term, primary),
-            UpstreamQuery::Pause { .. } | UpstreamQuery::Resume => false,
+            UpstreamQuery::Pause { .. } | UpstreamQuery::Resume | UpstreamQuery::Demote { .. } => {
+                false
+            }
         };
         QueryReply {
             paused_term: 0,
--- a/crates/decide/tests/group/net.rs
+++ b/crates/decide/tests/group/net.rs
@@ -176,5 +176,6 @@
         UpstreamQuery::Follow { .. } => "follow",
         UpstreamQuery::Pause { .. } => "pause",
         UpstreamQuery::Resume => "resume",
+        UpstreamQuery::Demote { .. } => "demote",
     }
 }
