--- a/crates/decide/src/owner/drain.rs
+++ b/crates/decide/src/owner/drain.rs
@@ -14,7 +14,8 @@
 
 /// New requests end this much before `drain_timeout`, for their way to the upstream.
 const REQUEST_MARGIN: Duration = Duration::from_millis(500);
-/// They end earlier by this, as a link may hold up an announcement until its silence ends it.
+/// They end this much earlier still: for up to this time, a link that has fallen silent may hold up
+/// an announcement before it counts as broken.
 const ANNOUNCEMENT_MARGIN: Duration = Duration::from_secs(2);
 
 /// Whether an upstream drains, and until when it gets new requests.
--- a/crates/decide/src/traffic.rs
+++ b/crates/decide/src/traffic.rs
@@ -22,6 +22,10 @@
 use crate::session::Sessions;
 use crate::{Cx, Effect, Event, Msg, Settings, View};
 
+/// How many heartbeats a leaving part stays to send requests back: a lost message with the news that
+/// it leaves is noticed at the next heartbeat, and sent again after the one that follows.
+const LEAVE_NOTICE_HEARTBEATS: u32 = 3;
+
 /// The state of a traffic part: the callers of its thread, and the upstreams that it holds
 /// connections to.
 #[derive(Debug)]
@@ -40,10 +44,6 @@
     leave_notice_until: Option<Instant>,
 }
 
-/// How many heartbeats a leaving part stays to send requests back: a lost message with the news that
-/// it leaves is noticed at the next heartbeat, and sent again after the one that follows.
-const LEAVE_NOTICE_HEARTBEATS: u32 = 3;
-
 impl TrafficPart {
     /// Returns a traffic part that has just started.
     pub fn new(settings: &Settings) -> Self {
--- a/crates/decide/tests/authority.rs
+++ b/crates/decide/tests/authority.rs
@@ -33,6 +33,19 @@
     incarnation: u64,
 }
 
+/// Returns an instance that is reachable and neither fenced nor draining.
+fn instance(role: Role) -> Instance {
+    Instance {
+        role,
+        term: 1,
+        position: Position::new(1, 10),
+        fenced_term: 0,
+        reachable: true,
+        draining: false,
+        incarnation: 1,
+    }
+}
+
 /// A consensus leader with three instances of one service.
 struct World {
     now: Instant,
@@ -56,15 +69,6 @@
     fn new() -> Self {
         let mut settings = Settings::default();
         settings.group.authority = AuthorityKind::Quorum;
-        let instance = |role| Instance {
-            role,
-            term: 1,
-            position: Position::new(1, 10),
-            fenced_term: 0,
-            reachable: true,
-            draining: false,
-            incarnation: 1,
-        };
         let instances = BTreeMap::from([
             ("a", instance(Role::Primary)),
             ("b", instance(Role::Replica)),
@@ -447,16 +451,7 @@
 fn a_replica_that_starts_while_an_order_is_open_acknowledges_no_write_that_the_successor_lacks() {
     let mut world = World::new();
     let successor = world.drain_primary_on_silent_platform();
-    let started = Instance {
-        role: Role::Replica,
-        term: 1,
-        position: Position::new(1, 10),
-        fenced_term: 0,
-        reachable: true,
-        draining: false,
-        incarnation: 1,
-    };
-    world.instances.insert("d", started);
+    world.instances.insert("d", instance(Role::Replica));
     let acknowledged = world.acknowledge_write();
     world.announce(&["a", "b", "c", "d"]);
     world.run(Duration::from_secs(2));
