grant: space demands for tokens by workspace

Cause: a host spaces its demands to the leader by how many grants in a row left any request waiting. Where one workspace is over its rate, its requests always wait, so the space grows to 50 ms for all workspaces of the host. A request of another workspace that arrives after a demand waits longer than grant.max_wait (40 ms as deployed) and is refused as over its rate, with tokens there.

Change: the count of short grants is kept for each workspace; the space before the next demand is that of the waiting workspace with the lowest.

Test: a_workspace_over_its_rate_delays_no_token_of_another, 16 and 120 hosts.

--- a/crates/decide/src/grant/balance.rs
+++ b/crates/decide/src/grant/balance.rs
@@ -11,12 +11,19 @@
     whole_tokens,
 };
 
+/// Largest count of grants that left requests waiting.
+const SHORT_GRANTS_MAX: u32 = 5;
+
 /// A host's tokens of one workspace.
 #[derive(Debug, Default)]
 pub(crate) struct TokenBalance {
     /// Granted tokens that no traffic part has; the next demand returns them to the leader.
     unassigned: u32,
     parts: HashMap<PartId, PartBalance>,
+    /// Whether the last demand reported waiting requests.
+    demanded_for_waiting: bool,
+    /// How many grants in a row have left requests waiting that were reported before.
+    short_grants: u32,
     /// The reserve, used only while the leader does not answer.
     pub(crate) reserve: ReserveBalance,
     /// The tokens in the bucket of the base share.
@@ -76,6 +83,21 @@
             .sum()
     }
 
+    /// Counts a grant that leaves requests waiting although they were reported; others start the
+    /// count anew.
+    pub(crate) fn count_short_grant(&mut self) {
+        let short = self.demanded_for_waiting && self.waiting() > 0;
+        self.short_grants = match short {
+            true => (self.short_grants + 1).min(SHORT_GRANTS_MAX),
+            false => 0,
+        };
+    }
+
+    /// Returns how many grants in a row have left reported requests waiting.
+    pub(crate) fn short_grants(&self) -> u32 {
+        self.short_grants
+    }
+
     /// Returns how many tokens may still be used, without reserve and base share.
     fn remaining(&self) -> u32 {
         let parts = self.parts.values().map(|part_balance| part_balance.tokens);
@@ -99,6 +121,7 @@
         let returned = std::mem::take(&mut self.unassigned);
         let remaining = self.remaining();
         let waiting = self.waiting();
+        self.demanded_for_waiting = waiting > 0;
         let prefetch = self
             .parts
             .values()
--- a/crates/decide/src/grant/holder.rs
+++ b/crates/decide/src/grant/holder.rs
@@ -20,10 +20,8 @@
 const SENT_DEMANDS_MAX: usize = 64;
 /// The shortest time between two demands while requests wait.
 ///
-/// It doubles with each grant in a row that leaves requests waiting.
+/// For each workspace it doubles with each grant in a row that leaves requests of it waiting.
 const DEMAND_GAP_MIN: Duration = Duration::from_millis(2);
-/// How often the shortest time between two demands is doubled at most.
-const DEMAND_GAP_DOUBLINGS_MAX: u32 = 5;
 /// How long a demand may stay unanswered before waiting requests cause another one.
 const DEMAND_TIMEOUT: Duration = Duration::from_millis(50);
 /// How many demands an idle host sends per lease, so that the lease is renewed in time.
@@ -67,8 +65,6 @@
     last_demand_answered: bool,
     /// When the first demand after the last grant, or after a change of leader, was sent.
     pub(super) unanswered_since: Option<Instant>,
-    /// How many grants in a row have left requests waiting.
-    short_grants: u32,
     /// What has changed since the last demand.
     unreported: Unreported,
     /// When `on_tick` has something to do next.
@@ -198,12 +194,9 @@
             }
         }
         self.send_to_parts(cx, part_allocations);
-        let requests_wait = self.balances.values().any(|balance| balance.waiting() > 0);
-        self.short_grants = if requests_wait {
-            (self.short_grants + 1).min(DEMAND_GAP_DOUBLINGS_MAX)
-        } else {
-            0
-        };
+        self.balances
+            .values_mut()
+            .for_each(TokenBalance::count_short_grant);
         self.send_demand_if_due(cx);
         self.reschedule(cx);
     }
@@ -352,7 +345,14 @@
         let (_, last) = self.sent_demands.back()?;
         let gap = match self.unreported {
             Unreported::Waiting if self.last_demand_answered => {
-                (DEMAND_GAP_MIN * 2_u32.saturating_pow(self.short_grants)).min(DEMAND_TIMEOUT)
+                // A workspace over its rate must not hold up the demands of the others.
+                let waiting = self
+                    .balances
+                    .values()
+                    .filter(|balance| balance.waiting() > 0);
+                let short_grants = waiting.map(TokenBalance::short_grants).min();
+                let doublings = short_grants.unwrap_or_default();
+                (DEMAND_GAP_MIN * 2_u32.saturating_pow(doublings)).min(DEMAND_TIMEOUT)
             }
             Unreported::Waiting => DEMAND_TIMEOUT,
             Unreported::Usage => report_every,
--- a/crates/decide/tests/grant.rs
+++ b/crates/decide/tests/grant.rs
@@ -12,11 +12,13 @@
 
 mod grant_fleet;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use decide::admit::{FixedShare, TokenAdmission};
 use decide::grant::{Grant, GrantSettings};
-use grant_fleet::{Fleet, config};
+use grant_fleet::{Fleet, config, config_with_quiet};
+use model::Config;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -130,6 +132,37 @@
     }
 }
 
+/// The load: one workspace sends ten times its rate to all hosts, another half of its own.
+///
+/// Its hosts always have requests of the first one waiting. The time between demands that grows for
+/// it must not hold up the other workspace's requests, whose tokens are there.
+#[test]
+fn a_workspace_over_its_rate_delays_no_token_of_another() {
+    for (hosts, quiet_rate) in [(16, 40), (120, 20)] {
+        for seed in SEEDS {
+            let config = config_with_quiet((40, 40), (quiet_rate, quiet_rate));
+            let mut fleet = windowed_fleet(hosts, config, window_settings(0.1), seed);
+            fleet.set_load(400.0, vec![1.0; hosts]);
+            fleet.set_quiet_load(f64::from(quiet_rate) / 2.0);
+            fleet.advance(60 * SECOND);
+            let quiet = &fleet.quiet_tally;
+            let over = quiet.refused_by_one_bucket(quiet_rate, quiet_rate);
+            let refused = quiet.refused.len().saturating_sub(over);
+            let share = refused as f64 / quiet.arrived.len() as f64;
+            let (messages, most) = (fleet.tally.messages, fleet.tally.most_within(WINDOW));
+            println!(
+                "hosts {hosts} seed {seed}: {share:.4} of the quiet workspace refused, \
+                 {messages} messages, {most} of the other within one window"
+            );
+            assert!(
+                share < 0.001,
+                "hosts {hosts} seed {seed}: a share of {share} of the quiet workspace was refused"
+            );
+            assert!(most <= allowed_per_window(40, 40, 0.1));
+        }
+    }
+}
+
 /// Elects the next control host; the old leader still serves the hosts in its partition.
 fn change_leader(fleet: &mut Fleet<TokenAdmission>, rng: &mut SmallRng, term: &mut u64) {
     let nth = |term: u64| (term as usize - 1) % 3;
@@ -358,7 +391,12 @@
     seed: u64,
     share: f64,
 ) -> Fleet<TokenAdmission> {
-    let settings = GrantSettings {
+    windowed_fleet(hosts, config(rate, burst), window_settings(share), seed)
+}
+
+/// Returns settings by which rate and burst count over a window, with a reserve beyond these.
+fn window_settings(share: f64) -> GrantSettings {
+    GrantSettings {
         window: Some(WINDOW),
         lease: SECOND,
         horizon: SECOND / 2,
@@ -368,9 +406,17 @@
         reserve_tokens: if share > 0.0 { 20 } else { 0 },
         reserve_kept: share,
         ..GrantSettings::default()
-    };
+    }
+}
+
+/// Returns a fleet with a leader that has granted for some time.
+fn windowed_fleet(
+    hosts: usize,
+    config: Arc<Config>,
+    settings: GrantSettings,
+    seed: u64,
+) -> Fleet<TokenAdmission> {
     let admission = || TokenAdmission::new(settings.clone());
-    let config = config(rate, burst);
     let mut fleet = Fleet::new(hosts, config, settings.clone(), seed, admission);
     fleet.elect(0, 1);
     fleet.advance(10 * SECOND);
--- a/crates/decide/tests/grant_fleet/faults.rs
+++ b/crates/decide/tests/grant_fleet/faults.rs
@@ -6,7 +6,7 @@
 use decide::admit::Admission;
 use decide::grant::Grant;
 
-use super::{Fleet, FleetEvent, HostIndex};
+use super::{Fleet, FleetEvent, HostIndex, Load};
 
 impl<A: Admission> Fleet<A> {
     /// Makes the `nth` control host the leader of a term.
@@ -84,7 +84,17 @@
         self.arrival_rate = rate;
         self.host_weights = host_weights;
         if idle {
-            self.next_arrival();
+            self.next_arrival(Load::Main);
+        }
+    }
+
+    /// Sets the load of the quiet workspace beside the main one, distributed over the entry hosts
+    /// by the same weights.
+    pub(crate) fn set_quiet_load(&mut self, rate: f64) {
+        let idle = self.quiet_rate == 0.0;
+        self.quiet_rate = rate;
+        if idle {
+            self.next_arrival(Load::Quiet);
         }
     }
 }
--- a/crates/decide/tests/grant_fleet/mod.rs
+++ b/crates/decide/tests/grant_fleet/mod.rs
@@ -47,12 +47,34 @@
     next_wake_at: Option<Duration>,
 }
 
+/// The load that a request belongs to, each of one workspace.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Load {
+    /// The load of the workspace `w`.
+    Main,
+    /// The load of the workspace `quiet`, beside the main one.
+    Quiet,
+}
+
+impl Load {
+    fn workspace(self) -> WorkspaceId {
+        match self {
+            Self::Main => "w".into(),
+            Self::Quiet => "quiet".into(),
+        }
+    }
+}
+
 /// A scheduled event of the simulation.
 enum FleetEvent {
     /// A request arrives at a host.
-    Arrival(HostIndex),
+    Arrival(Load, HostIndex),
     /// A request that arrived at `since` tries to be admitted.
-    Attempt { host: HostIndex, since: Duration },
+    Attempt {
+        load: Load,
+        host: HostIndex,
+        since: Duration,
+    },
     /// A message reaches a host.
     Message {
         from: HostIndex,
@@ -67,7 +89,7 @@
     ConfirmLeadership(u64),
 }
 
-/// A simulated fleet with one workspace, whose requests arrive at random times.
+/// A simulated fleet with one or two workspaces, whose requests arrive at random times.
 pub(crate) struct Fleet<A> {
     hosts: Vec<Host<A>>,
     entry_count: usize,
@@ -85,27 +107,39 @@
     /// The confirmed leader and its term.
     leader: Option<(HostIndex, u64)>,
     host_weights: Vec<f64>,
-    /// Requests a second, 0 before the first load.
+    /// Requests of the main load a second, 0 before the first load.
     arrival_rate: f64,
+    /// Requests of the quiet load a second, 0 without one.
+    quiet_rate: f64,
+    /// Results of the main load.
     pub(crate) tally: Tally,
+    /// Results of the quiet load.
+    pub(crate) quiet_tally: Tally,
 }
 
 /// Returns a configuration with the workspace `w`.
 pub(crate) fn config(rate: u32, burst: u32) -> Arc<Config> {
+    let mut config = Config::default();
+    add_workspace(&mut config, Load::Main, rate, burst);
+    Arc::new(config)
+}
+
+/// Returns a configuration with the workspaces `w` and `quiet`, each with its rate and burst.
+pub(crate) fn config_with_quiet(main: (u32, u32), quiet: (u32, u32)) -> Arc<Config> {
+    let mut config = Config::default();
+    add_workspace(&mut config, Load::Main, main.0, main.1);
+    add_workspace(&mut config, Load::Quiet, quiet.0, quiet.1);
+    Arc::new(config)
+}
+
+fn add_workspace(config: &mut Config, load: Load, rate: u32, burst: u32) {
     let workspace = Workspace {
         rate,
         burst,
         services: Vec::new(),
         keys: Default::default(),
     };
-    let mut config = Config::default();
-    config.workspaces.insert("w".into(), workspace);
-    Arc::new(config)
-}
-
-/// Returns the name of the only workspace.
-fn workspace() -> WorkspaceId {
-    "w".into()
+    config.workspaces.insert(load.workspace(), workspace);
 }
 
 impl<A: Admission> Fleet<A> {
@@ -158,7 +192,9 @@
             leader: None,
             host_weights: vec![1.0; entries],
             arrival_rate: 0.0,
+            quiet_rate: 0.0,
             tally: Tally::default(),
+            quiet_tally: Tally::default(),
         };
         fleet.configure(config);
         let share_indexes =
@@ -195,17 +231,28 @@
         }
     }
 
-    /// Schedules the next arrival, at a random host.
-    fn next_arrival(&mut self) {
+    fn tally_mut(&mut self, load: Load) -> &mut Tally {
+        match load {
+            Load::Main => &mut self.tally,
+            Load::Quiet => &mut self.quiet_tally,
+        }
+    }
+
+    /// Schedules the next arrival of a load, at a random host.
+    fn next_arrival(&mut self, load: Load) {
+        let rate = match load {
+            Load::Main => self.arrival_rate,
+            Load::Quiet => self.quiet_rate,
+        };
         let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
-        let gap = Duration::from_secs_f64(-uniform.ln() / self.arrival_rate);
+        let gap = Duration::from_secs_f64(-uniform.ln() / rate);
         let mut pick = self.rng.random_range(0.0..self.host_weights.iter().sum());
         let host = self.host_weights.iter().position(|weight| {
             pick -= weight;
             pick < 0.0
         });
         let host = host.unwrap_or(self.entry_count - 1);
-        self.schedule(self.now + gap, FleetEvent::Arrival(host));
+        self.schedule(self.now + gap, FleetEvent::Arrival(load, host));
     }
 
     fn reaches(&self, from: HostIndex, to: HostIndex) -> bool {
@@ -315,7 +362,7 @@
             | FleetEvent::Event { host, .. }
             | FleetEvent::Wake(host) => *host,
             FleetEvent::Message { to, .. } => *to,
-            FleetEvent::Arrival(_) | FleetEvent::ConfirmLeadership(_) => return None,
+            FleetEvent::Arrival(..) | FleetEvent::ConfirmLeadership(_) => return None,
         };
         let until = self.hosts[host].frozen_until;
         (until > self.now).then_some(until)
@@ -326,15 +373,15 @@
             return self.schedule(until, event);
         }
         match event {
-            FleetEvent::Arrival(host) => {
+            FleetEvent::Arrival(load, host) => {
                 if self.hosts[host].alive {
-                    self.tally.arrived.push((self.now, host));
                     let since = self.now;
-                    self.schedule(self.now, FleetEvent::Attempt { host, since });
+                    self.tally_mut(load).arrived.push((since, host));
+                    self.schedule(since, FleetEvent::Attempt { load, host, since });
                 }
-                self.next_arrival();
+                self.next_arrival(load);
             }
-            FleetEvent::Attempt { host, since } => self.attempt(host, since),
+            FleetEvent::Attempt { load, host, since } => self.attempt(load, host, since),
             FleetEvent::Message { from, to, msg } => {
                 if self.reaches(from, to) {
                     let host = self.hosts[from].me.host.clone();
@@ -383,20 +430,21 @@
     }
 
     /// Tries to admit a request; it is tried again later if it must wait for tokens.
-    fn attempt(&mut self, index: HostIndex, since: Duration) {
+    fn attempt(&mut self, load: Load, index: HostIndex, since: Duration) {
         if !self.hosts[index].alive {
             return;
         }
         let waited = self.now - since;
         let admit = self.call_host(index, |host, cx| {
-            host.admission.try_admit(cx.now, &workspace(), waited)
+            host.admission.try_admit(cx.now, &load.workspace(), waited)
         });
+        let now = self.now;
         match admit {
-            Admit::Now => self.tally.admitted.push((self.now, index)),
-            Admit::Refuse => self.tally.refused.push((since, index)),
+            Admit::Now => self.tally_mut(load).admitted.push((now, index)),
+            Admit::Refuse => self.tally_mut(load).refused.push((since, index)),
             Admit::Wait(pause) => {
                 let host = index;
-                self.schedule(self.now + pause, FleetEvent::Attempt { host, since });
+                self.schedule(now + pause, FleetEvent::Attempt { load, host, since });
             }
         }
     }
