entry: find silent owners by checks, and leave them in some hundred milliseconds

Cause: a primary cut from 65 % of the entry hosts (primary_cut, how split) parts the fleet in two. Owners on the far side count as dead only after 1.3 s of missed heartbeats. Until then half of the requests go to owners that can't answer.

Ruled out: size (the same on the small site), processors (0.4 % of a core), detection by answers alone (a slow upstream looks like a silent owner).

Change: a part of an owner that has sent nothing for check_owner_after (100 ms as deployed, off unless set) while requests wait for it gets a request for no upstream, which every owner bounces at once, hosts of earlier versions too. Unanswered for twice as long, the owner is silent: it gets nothing until it is heard again, reads go to another owner, and what can't have committed is answered. What may have committed goes on waiting. A host that was paused itself takes nobody for silent.

--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -7,8 +7,10 @@
 
 pub mod budget;
 mod hedge;
+pub(crate) mod owner_check;
 pub(crate) mod pending;
 pub(crate) mod pick;
+mod silent_owner;
 
 use std::time::Instant;
 
@@ -55,7 +57,9 @@
     /// Returns when the next timer is due, if any is set.
     pub fn wake_at(&self) -> Option<Instant> {
         let timer = self.requests.wake_at();
-        timer.into_iter().chain(self.admission.wake_at()).min()
+        let check = self.router.checks.wake_at();
+        let all = timer.into_iter().chain(self.admission.wake_at());
+        all.chain(check).min()
     }
 
     /// Reports used and needed rate tokens to the control part, if a report is due.
@@ -132,6 +136,7 @@
             last_refusal: Refusal::NoUpstream,
             replica_behind: false,
             earlier_attempt: None,
+            answered: false,
             may_have_run: false,
         };
         if refusal.is_some() && pending.req.rolls_back {
@@ -165,6 +170,14 @@
             return answer_without_result(cx, sessions, pending, Verdict::NotRun(why));
         }
         let pin = sessions.get(pending.session).and_then(|s| s.pin.clone());
+        if let Some(pin) = &pin
+            && self.router.checks.is_silent(&pin.owner.host)
+        {
+            let pin = sessions.get_mut(pending.session).and_then(|s| s.pin.take());
+            roll_back_pin(cx, pin);
+            let verdict = Verdict::NotRun(Refusal::TransactionLost);
+            return answer_without_result(cx, sessions, pending, verdict);
+        }
         let picked = match pin {
             Some(pin) => Some((pin.into(), "pinned")),
             None => self.router.pick(cx, view, &pending),
@@ -191,6 +204,7 @@
             req,
         };
         cx.send(target.owner.clone(), RelayMsg::Run(Box::new(run)));
+        self.router.checks.expect(cx, &target.owner);
         pending.attempts += 1;
         pending.timer_at = pending.deadline + cx.settings.session.answer_grace;
         if target.pin.is_none() && pending.can_be_hedged() {
@@ -281,7 +295,7 @@
         if let Some((id, target)) = other {
             cx.send(target.owner, RelayMsg::Cancel { id });
         }
-        if sessions.get(pending.session).is_none() {
+        if pending.answered || sessions.get(pending.session).is_none() {
             return roll_back_at(cx, pending.target, pin);
         }
         if let Some(session) = sessions.get_mut(pending.session) {
@@ -313,7 +327,7 @@
         let Some(mut pending) = self.requests.remove(id) else {
             return;
         };
-        let Some(target) = pending.target.take() else {
+        let Some(target) = pending.target.take().filter(|_| !pending.answered) else {
             return;
         };
         if target.pin.is_some() {
@@ -385,7 +399,7 @@
             let Some(mut pending) = self.requests.remove(id) else {
                 continue;
             };
-            let Some(target) = pending.target.take() else {
+            let Some(target) = pending.target.take().filter(|_| !pending.answered) else {
                 continue;
             };
             self.router
@@ -431,15 +445,21 @@
                 }
                 Some(target) => {
                     cx.send(target.owner.clone(), RelayMsg::Cancel { id });
-                    answer_without_result(cx, sessions, pending, Verdict::MayHaveRun);
+                    if !pending.answered {
+                        answer_without_result(cx, sessions, pending, Verdict::MayHaveRun);
+                    }
                 }
             }
         }
+        self.check_owners(cx, view, sessions);
     }
 
     /// Applies a new view, and sends the requests that are parked for an upstream again.
     pub fn on_view(&mut self, cx: &mut Cx<'_>, view: &View, sessions: &mut Sessions) {
         self.router.drop_known_hints(view);
+        self.router
+            .checks
+            .retain_hosts(|host| view.hosts.contains_key(host));
         self.admission.on_config(&view.config);
         self.resend_parked(cx, view, sessions, |pending| pending.admitted);
     }
--- a/crates/decide/src/entry/hedge.rs
+++ b/crates/decide/src/entry/hedge.rs
@@ -26,6 +26,18 @@
         if pending.earlier_attempt.is_some() || !self.hedge_budget.try_spend() {
             return self.requests.insert(id, pending);
         }
+        self.send_to_another_owner(cx, view, sessions, id, pending);
+    }
+
+    /// Sends a read to another owner, while the answer of the first may still come.
+    pub(super) fn send_to_another_owner(
+        &mut self,
+        cx: &mut Cx<'_>,
+        view: &View,
+        sessions: &mut Sessions,
+        id: RequestId,
+        mut pending: PendingRequest,
+    ) {
         let Some(target) = pending.target.take() else {
             return self.requests.insert(id, pending);
         };
--- a/crates/decide/src/entry/pending.rs
+++ b/crates/decide/src/entry/pending.rs
@@ -50,6 +50,9 @@
     pub(crate) replica_behind: bool,
     /// The attempt before a hedge, which may still be answered.
     pub(crate) earlier_attempt: Option<(RequestId, Target)>,
+    /// Whether its caller has been answered, and only the end of the attempt is awaited, to roll
+    /// back what it opens.
+    pub(crate) answered: bool,
     /// Whether an attempt may have run, so that the answer "not run" would be wrong.
     pub(crate) may_have_run: bool,
 }
--- a/crates/decide/src/entry/pick.rs
+++ b/crates/decide/src/entry/pick.rs
@@ -2,6 +2,7 @@
 
 use model::{HashMap, Kind, ServiceId, Term, UpstreamId};
 
+use crate::entry::owner_check::OwnerChecks;
 use crate::entry::pending::{PendingRequest, Target};
 use crate::route::{ReadPolicy, RecentFailures};
 use crate::view::ServiceView;
@@ -13,6 +14,8 @@
     policy: R,
     /// The upstreams and owners that failed recently and get no requests for a short time.
     pub(crate) failures: RecentFailures,
+    /// The owners that are being checked, and those that have gone silent.
+    pub(crate) checks: OwnerChecks,
     /// Primaries that owners have named, while the view shows none of that term or a newer one.
     primary_hints: HashMap<ServiceId, (Term, UpstreamId)>,
 }
@@ -29,7 +32,9 @@
     ) -> Option<(Target, &'static str)> {
         let service = view.services.get(&pending.req.service)?;
         let (upstream, reason) = self.pick_upstream(cx, view, service, pending)?;
-        let owner = self.failures.pick_owner(cx, view, &upstream)?;
+        let owner = self
+            .failures
+            .pick_owner(cx, view, &self.checks, &upstream)?;
         let pin = None;
         let target = Target {
             upstream,
@@ -66,7 +71,7 @@
             } else {
                 "replicas-behind"
             };
-            let usable = self.failures.usable_upstreams(cx.now, view, service, true);
+            let usable = self.usable_upstreams(cx, view, service, true);
             if let Some(id) = primary().filter(|id| usable.contains(&id)) {
                 return Some((id, reason));
             }
@@ -74,12 +79,22 @@
                 return None;
             }
         }
-        let usable = self
-            .failures
-            .usable_upstreams(cx.now, view, service, pending.replica_behind);
+        let usable = self.usable_upstreams(cx, view, service, pending.replica_behind);
         self.policy.pick(cx, view, service, &usable)
     }
 
+    /// Returns the upstreams of a service that may get a read now.
+    fn usable_upstreams<'a>(
+        &self,
+        cx: &Cx<'_>,
+        view: &View,
+        service: &'a ServiceView,
+        ignore_behind: bool,
+    ) -> Vec<&'a UpstreamId> {
+        self.failures
+            .usable_upstreams(cx.now, view, &self.checks, service, ignore_behind)
+    }
+
     /// Returns the primary with the highest term out of the view and the owners' hints.
     fn newest_primary<'a>(
         &'a self,
--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -33,7 +33,7 @@
 use crate::owner::unconfirmed::UnconfirmedAnswers;
 use crate::owner::upstream::Upstream;
 use crate::queue::{Drr, QueueDiscipline, RequestQueue};
-use crate::relay::RunRequest;
+use crate::relay::{Bounce, NO_UPSTREAM, RelayMsg, RunRequest};
 use crate::upstream_query::{QueryError, QueryId, QueryReply};
 use crate::{Cx, View};
 
@@ -140,6 +140,10 @@
             run,
             attempts: 0,
         };
+        if *job.run.upstream == *NO_UPSTREAM {
+            let (id, why) = (job.run.id, Bounce::NotOwner);
+            return cx.send(job.from, RelayMsg::Bounce { id, why });
+        }
         let Some(upstream) = self.upstreams.get_mut(&job.run.upstream) else {
             return job.reject_unknown_upstream(cx);
         };
--- a/crates/decide/src/relay.rs
+++ b/crates/decide/src/relay.rs
@@ -6,6 +6,9 @@
 use model::{Answer, ConnId, Refusal, Request, RequestId, SessionId, Term, UpstreamId};
 use serde::{Deserialize, Serialize};
 
+/// Names no upstream: an owner bounces a request for it at once, which shows that it is not silent.
+pub const NO_UPSTREAM: &str = "";
+
 /// A message between the traffic part that serves a caller and the one that holds connections.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RelayMsg {
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 use std::time::{Duration, Instant};
 
+use crate::entry::owner_check::OwnerChecks;
 use crate::placement::traffic_part;
 use crate::view::{ServiceView, UpstreamView};
 use crate::{Cx, View};
@@ -145,10 +146,11 @@
     ///
     /// It leaves out draining replicas, those that were behind a floor, and upstreams that no owner
     /// can reach. Upstreams whose owners have all left reads unanswered are the last resort.
-    pub fn usable_upstreams<'a>(
+    pub(crate) fn usable_upstreams<'a>(
         &self,
         now: Instant,
         view: &View,
+        checks: &OwnerChecks,
         service: &'a ServiceView,
         ignore_behind: bool,
     ) -> Vec<&'a UpstreamId> {
@@ -164,7 +166,7 @@
             .filter(|id| ignore_behind || !self.is_behind(now, id))
             .filter(|id| {
                 let up = view.upstreams.get(*id);
-                up.is_some_and(|up| self.has_usable_owner(now, view, up))
+                up.is_some_and(|up| self.has_usable_owner(now, view, checks, up))
             })
             .collect();
         let responsive = |id: &&UpstreamId| {
@@ -179,28 +181,48 @@
     }
 
     /// Returns whether an upstream has a live owner that has not recently failed to reach it.
-    fn has_usable_owner(&self, now: Instant, view: &View, up: &UpstreamView) -> bool {
+    fn has_usable_owner(
+        &self,
+        now: Instant,
+        view: &View,
+        checks: &OwnerChecks,
+        up: &UpstreamView,
+    ) -> bool {
         let id = &up.announcement.upstream;
         up.owners
             .iter()
-            .any(|host| view.hosts.contains_key(host) && !self.is_unavailable(now, id, host))
+            .any(|host| self.is_usable_owner(now, view, checks, id, host))
+    }
+
+    /// Returns whether an owner is live, not silent and has not recently failed to reach an
+    /// upstream.
+    fn is_usable_owner(
+        &self,
+        now: Instant,
+        view: &View,
+        checks: &OwnerChecks,
+        upstream: &UpstreamId,
+        host: &HostId,
+    ) -> bool {
+        view.hosts.contains_key(host)
+            && !checks.is_silent(host)
+            && !self.is_unavailable(now, upstream, host)
     }
 
     /// Returns the traffic part (state of one thread of a host) to send an upstream's request to.
     ///
-    /// It is that of a random live owner; one that left a read unanswered is the last resort.
-    pub fn pick_owner(
+    /// It is that of a random usable owner; one that left a read unanswered is the last resort.
+    pub(crate) fn pick_owner(
         &self,
         cx: &mut Cx<'_>,
         view: &View,
+        checks: &OwnerChecks,
         upstream: &UpstreamId,
     ) -> Option<PartAddr> {
         let up = view.upstreams.get(upstream)?;
         let now = cx.now;
-        let live = |host: &&HostId| {
-            view.hosts.contains_key(*host) && !self.is_unavailable(now, upstream, host)
-        };
-        let mut owners: Vec<&HostId> = up.owners.iter().filter(live).collect();
+        let usable = |host: &&HostId| self.is_usable_owner(now, view, checks, upstream, host);
+        let mut owners: Vec<&HostId> = up.owners.iter().filter(usable).collect();
         if owners.is_empty() {
             return None;
         }
--- a/crates/decide/src/session.rs
+++ b/crates/decide/src/session.rs
@@ -34,6 +34,10 @@
     /// How long a read may go unanswered before it is sent to another owner too, if at all.
     #[serde(with = "humantime_serde")]
     pub hedge_after: Option<Duration>,
+    /// How long an owner may send nothing while requests wait for it before it is checked, if at
+    /// all; one that leaves the check unanswered for twice as long gets no requests for a time.
+    #[serde(with = "humantime_serde")]
+    pub check_owner_after: Option<Duration>,
     /// How many reads may be sent a second time.
     pub hedge: HedgeBudgetSettings,
 }
@@ -45,6 +49,7 @@
             default_max_age: Duration::from_secs(10),
             answer_grace: Duration::from_millis(250),
             hedge_after: None,
+            check_owner_after: None,
             hedge: HedgeBudgetSettings::default(),
         }
     }
--- a/crates/decide/src/session/log_event.rs
+++ b/crates/decide/src/session/log_event.rs
@@ -52,6 +52,18 @@
         /// Time since the request arrived.
         waited: Duration,
     },
+    /// An owner has left a check unanswered and gets no requests for a time.
+    OwnerSilent {
+        /// The owner.
+        owner: HostId,
+        /// How many requests of this part's callers wait for it.
+        waiting: usize,
+    },
+    /// A silent owner has sent something again.
+    OwnerHeard {
+        /// The owner.
+        owner: HostId,
+    },
     /// A request was answered that did not run, or may not have run.
     Answered {
         /// The caller's session.
@@ -94,6 +106,8 @@
             Self::Parked { .. } => 101,
             Self::Answered { .. } => 102,
             Self::Hedged { .. } => 103,
+            Self::OwnerSilent { .. } => 104,
+            Self::OwnerHeard { .. } => 105,
             Self::Login { .. } => 110,
             Self::Ended { .. } => 111,
         }
@@ -101,7 +115,9 @@
 
     fn level(&self) -> log::Level {
         match self {
-            Self::Answered { .. } | Self::Ended { .. } => log::Level::Warn,
+            Self::Answered { .. } | Self::Ended { .. } | Self::OwnerSilent { .. } => {
+                log::Level::Warn
+            }
             Self::Login { refusal, .. } if refusal.is_some() => log::Level::Warn,
             _ => log::Level::Info,
         }
@@ -155,6 +171,10 @@
                 "hedged session={session} request={request} id={label} upstream={upstream} owner={owner} waited_ms={}",
                 waited.as_millis()
             ),
+            Self::OwnerSilent { owner, waiting } => {
+                write!(f, "owner-silent owner={owner} waiting={waiting}")
+            }
+            Self::OwnerHeard { owner } => write!(f, "owner-heard owner={owner}"),
             Self::Login {
                 session,
                 workspace,
--- a/crates/decide/src/traffic.rs
+++ b/crates/decide/src/traffic.rs
@@ -153,6 +153,7 @@
     }
 
     fn on_relay_msg(&mut self, cx: &mut Cx<'_>, from: PartAddr, msg: RelayMsg) {
+        self.entry.on_heard(cx, &from);
         match msg {
             RelayMsg::Run(run) => self.on_run(cx, from, *run),
             RelayMsg::Cancel { id } => self.owners.on_cancel(cx, &from, id),
--- a/crates/decide/tests/owner_chaos/mod.rs
+++ b/crates/decide/tests/owner_chaos/mod.rs
@@ -189,6 +189,7 @@
                 read_only_transaction: false,
                 priority: 0,
                 repeatable: self.rng.random_bool(0.3),
+                may_be_given_up: false,
                 timeout: Duration::from_millis(self.rng.random_range(10..5000)),
                 max_age: None,
                 floor: self.rng.random_bool(0.3).then_some(Position::new(1, 150)),
--- a/crates/decide/tests/owner_harness/mod.rs
+++ b/crates/decide/tests/owner_harness/mod.rs
@@ -262,6 +262,7 @@
                 read_only_transaction: false,
                 priority: 0,
                 repeatable: line.has_flag("repeatable"),
+                may_be_given_up: false,
                 timeout: parse_duration(line.get_or("timeout", "5s")),
                 max_age: line.value("max-age").map(parse_duration),
                 floor: parse_floor(line.get_or("floor", "0/0")),
--- a/crates/decide/tests/owner_load/mod.rs
+++ b/crates/decide/tests/owner_load/mod.rs
@@ -172,6 +172,7 @@
             read_only_transaction: false,
             priority: 0,
             repeatable: true,
+            may_be_given_up: false,
             timeout: CALLER_TIMEOUT,
             max_age: None,
             floor: Some(Position::default()),
--- a/crates/host/tests/settings_doc.rs
+++ b/crates/host/tests/settings_doc.rs
@@ -96,6 +96,7 @@
     cfg.orders.address = Some("127.0.0.1:3".parse().unwrap());
     cfg.grant.window = Some(std::time::Duration::from_secs(5));
     cfg.session.hedge_after = Some(std::time::Duration::from_millis(150));
+    cfg.session.check_owner_after = Some(std::time::Duration::from_millis(100));
     cfg.spread.revoke_within = Some(std::time::Duration::from_secs(5));
     cfg
 }
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -87,6 +87,10 @@
     pub priority: u8,
     /// Whether running it more than once does no harm, so that it may be sent again or hedged.
     pub repeatable: bool,
+    /// Whether nothing is kept of it if nobody waits for its answer: it is part of a transaction
+    /// and does not commit it. Known on the entry host alone.
+    #[serde(skip)]
+    pub may_be_given_up: bool,
     /// Time left until the caller's deadline, counted from when the request was sent on.
     pub timeout: Duration,
     /// Greatest age of the data that a read may see; `None` without a bound on the age.
--- a/crates/pg/src/caller_session.rs
+++ b/crates/pg/src/caller_session.rs
@@ -292,6 +292,7 @@
             read_only_transaction: false,
             priority: 0,
             repeatable: kind == Kind::Read && !in_transaction,
+            may_be_given_up: false,
             timeout: self.timeout,
             max_age: self.max_age,
             floor: None,
