platform, api: refuse announcements that nothing could replace or reach

Cause: an announcement of another writer under an instance's id was taken as it came. With a start far in the future, or a sequence that the instance never reaches, it outranks every heartbeat that the instance sends after it: the hosts stop following the instance until its lease ends and take it for gone from then on. A withdrawal adds to the sequence, which overflows. A port of 0 or an address of no single host was taken too.

Ruled out: deep nesting (refused by the JSON reader at 128 levels, or skipped without recursion), ports and numbers out of range (refused as unreadable), bytes that are no text.

Sums with numbers from outside saturate.

--- a/crates/carawayd/tests/fleet/process.rs
+++ b/crates/carawayd/tests/fleet/process.rs
@@ -79,6 +79,11 @@
         prlimit(Some(Pid::from_child(&self.child)), Resource::Fsize, limit).unwrap();
     }
 
+    /// Returns whether the process has not ended.
+    pub(crate) fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Waits until the process ends, and returns whether its exit status is success.
     pub(crate) fn wait(&mut self) -> bool {
         self.child.wait().unwrap().success()
--- a/crates/decide/src/authority/failover.rs
+++ b/crates/decide/src/authority/failover.rs
@@ -367,7 +367,7 @@
                     position: reply.status.position,
                 });
             }
-            Ok(_) | Err(QueryError::Refused) => self.fence_term += 1,
+            Ok(_) | Err(QueryError::Refused) => self.fence_term = self.fence_term.saturating_add(1),
             Err(_) => {}
         }
     }
@@ -398,7 +398,7 @@
                 }
             }
             // An earlier leader has fenced it with a higher term.
-            Ok(_) | Err(QueryError::Refused) => self.fence_term += 1,
+            Ok(_) | Err(QueryError::Refused) => self.fence_term = self.fence_term.saturating_add(1),
             Err(_) => {}
         }
     }
--- a/crates/decide/src/authority/failure_detection.rs
+++ b/crates/decide/src/authority/failure_detection.rs
@@ -33,7 +33,7 @@
             .max(seen)
             .unwrap_or(0)
             .max(self.primary_term());
-        self.fence_term = self.fence_term.max(highest) + 1;
+        self.fence_term = self.fence_term.max(highest).saturating_add(1);
         let primary = self
             .primary
             .as_ref()
--- a/crates/decide/src/spread/announce.rs
+++ b/crates/decide/src/spread/announce.rs
@@ -40,7 +40,7 @@
     pub fn withdraw(&mut self, cx: &mut Cx<'_>, upstream: &UpstreamId) {
         if let Some((known, true)) = self.upstream_fact(upstream) {
             let mut last = known.clone();
-            last.sequence += WITHDRAWAL_SEQUENCE_OFFSET;
+            last.sequence = last.sequence.saturating_add(WITHDRAWAL_SEQUENCE_OFFSET);
             last.leaving = true;
             self.announce(cx, last);
         }
--- a/crates/host/src/rpc.rs
+++ b/crates/host/src/rpc.rs
@@ -3,7 +3,7 @@
 use decide::call::{Call, Patch, PatchOutcome, Reply};
 use decide::view::FleetStatus;
 use jsonrpsee::core::async_trait;
-use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::types::{ErrorCode, ErrorObjectOwned};
 use model::{Announcement, Config, ConfigVersion, HostId};
 use peer::api::{ApiServer, refused, unconfirmed};
 
@@ -71,6 +71,11 @@
     }
 
     async fn announce(&self, announcement: Announcement) -> Result<(), ErrorObjectOwned> {
+        if let Err(error) = announcement.check() {
+            let code = ErrorCode::InvalidParams.code();
+            let error = ErrorObjectOwned::owned(code, error.to_string(), None::<()>);
+            return Err(error);
+        }
         self.call(Call::Announce(announcement)).await.map(|_| ())
     }
 
--- a/crates/model/src/instance.rs
+++ b/crates/model/src/instance.rs
@@ -17,6 +17,28 @@
     Replica,
 }
 
+/// Longest name of an upstream, a service or a data centre in an announcement, in bytes.
+pub const NAME_BYTES_MAX: usize = 256;
+/// Highest sequence of an announcement; a withdrawal raises it further.
+pub const SEQUENCE_MAX: u64 = u64::MAX / 2;
+
+/// Why an announcement is refused: nothing can be reached by it, or no later one could replace it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BadAnnouncement {
+    /// The address is not that of one host, or its port is 0.
+    #[error("no connection can be made to the address")]
+    Address,
+    /// A name is empty, longer than [`NAME_BYTES_MAX`] or holds white space or control characters.
+    #[error("a name is empty, too long or not printable")]
+    Name,
+    /// The sequence is so high that the upstream's next announcements would be ignored.
+    #[error("the sequence is too high")]
+    Sequence,
+    /// The start is in the future, so that the upstream's next announcements would be ignored.
+    #[error("the start is in the future")]
+    Incarnation,
+}
+
 /// What an upstream announces of itself, and repeats before its announcement expires.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
@@ -56,6 +78,29 @@
 }
 
 impl Announcement {
+    /// Checks what every announcement must fulfil, whatever protocol it came by.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first reason to refuse it.
+    pub fn check(&self) -> Result<(), BadAnnouncement> {
+        let ip = self.addr.ip();
+        if self.addr.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+            return Err(BadAnnouncement::Address);
+        }
+        let printable = |c: char| !c.is_whitespace() && !c.is_control();
+        let names = [&self.upstream, &self.service, &self.data_centre];
+        let good =
+            |name: &str| (1..=NAME_BYTES_MAX).contains(&name.len()) && name.chars().all(printable);
+        if !names.iter().all(|name| good(name)) {
+            return Err(BadAnnouncement::Name);
+        }
+        if self.sequence > SEQUENCE_MAX {
+            return Err(BadAnnouncement::Sequence);
+        }
+        Ok(())
+    }
+
     /// Returns whether the upstream is to be replaced as primary, and not to become one.
     pub fn will_leave(&self) -> bool {
         self.draining || self.leaving
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -15,7 +15,7 @@
 pub use addr::HostInfo;
 pub use config::{Config, ConfigVersion};
 pub use id::*;
-pub use instance::{Announcement, Claim, InstanceStatus, Role};
+pub use instance::{Announcement, BadAnnouncement, Claim, InstanceStatus, Role};
 pub use key::{KeyDigest, KeyId};
 pub use map::{HashMap, HashSet};
 pub use position::{LogPosition, Position, Term};
