--- a/crates/carawayd/tests/fleet/mod.rs
+++ b/crates/carawayd/tests/fleet/mod.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test that meets an error ends there")]
 
 pub(crate) mod client;
+pub(crate) mod ledger;
 pub(crate) mod process;
 pub(crate) mod relay;
 
