--- a/crates/decide/src/session.rs
+++ b/crates/decide/src/session.rs
@@ -34,8 +34,10 @@
     /// How long a read may go unanswered before it is sent to another owner too, if at all.
     #[serde(with = "humantime_serde")]
     pub hedge_after: Option<Duration>,
-    /// How long an owner may send nothing while requests wait for it before it is checked, if at
-    /// all; one that leaves the check unanswered for twice as long gets no requests for a time.
+    /// How long an owner with waiting requests may send nothing before it is checked, if at all.
+    ///
+    /// One that leaves the check unanswered for twice as long gets no requests until it sends
+    /// something.
     #[serde(with = "humantime_serde")]
     pub check_owner_after: Option<Duration>,
     /// How many reads may be sent a second time.
