--- a/crates/decide/tests/late_answers.rs
+++ b/crates/decide/tests/late_answers.rs
@@ -40,23 +40,34 @@
     harness.publish_view();
 }
 
-/// Takes the effects: the requests that were sent to owners, and the verdicts and payloads that the
-/// caller has got, each with the number of its request.
-fn take_outcome(harness: &mut Harness) -> (Vec<PartAddr>, Vec<(u64, Verdict, Vec<u8>)>) {
-    let (mut runs, mut answers) = (Vec::new(), Vec::new());
+/// What was sent to owners and answered to the caller.
+#[derive(Debug, Default)]
+struct Outcome {
+    /// The owners that got a request to run.
+    runs: Vec<PartAddr>,
+    /// The number of each answered request, with the verdict and the payload.
+    answers: Vec<(u64, Verdict, Vec<u8>)>,
+}
+
+/// Takes the effects, and returns what was sent to owners and to the caller.
+fn take_outcome(harness: &mut Harness) -> Outcome {
+    let mut outcome = Outcome::default();
     for effect in harness.effects.drain(..) {
         match effect {
             Effect::Send {
                 to,
                 msg: Msg::Relay(RelayMsg::Run(run)),
-            } if !run.upstream.is_empty() => runs.push(to),
+            } if !run.upstream.is_empty() => outcome.runs.push(to),
             Effect::Answer {
                 request, answer, ..
-            } => answers.push((request, answer.verdict, answer.payload.to_vec())),
+            } => {
+                let payload = answer.payload.to_vec();
+                outcome.answers.push((request, answer.verdict, payload));
+            }
             _ => {}
         }
     }
-    (runs, answers)
+    outcome
 }
 
 fn answer(harness: &mut Harness, (from, run): &(PartAddr, RunRequest), payload: &'static [u8]) {
@@ -71,16 +82,16 @@
 }
 
 /// Lets time pass in steps; returns what was sent and answered meanwhile.
-fn wait(harness: &mut Harness, time: Duration) -> (Vec<PartAddr>, Vec<(u64, Verdict, Vec<u8>)>) {
-    let (mut runs, mut answers) = (Vec::new(), Vec::new());
+fn wait(harness: &mut Harness, time: Duration) -> Outcome {
+    let mut all = Outcome::default();
     for _ in 0..time.as_millis() / STEP.as_millis() {
         harness.now += STEP;
         harness.handle(Event::Tick);
         let outcome = take_outcome(harness);
-        runs.extend(outcome.0);
-        answers.extend(outcome.1);
+        all.runs.extend(outcome.runs);
+        all.answers.extend(outcome.answers);
     }
-    (runs, answers)
+    all
 }
 
 #[test]
@@ -88,14 +99,14 @@
     let mut harness = harness();
     let first = send_write(&mut harness);
     change_owners(&mut harness, ["h4", "h5"]);
-    let (runs, answers) = wait(&mut harness, TOLD_WITHIN + STEP);
+    let Outcome { runs, answers } = wait(&mut harness, TOLD_WITHIN + STEP);
     assert!(runs.is_empty(), "the write was sent again to {runs:?}");
     let [(_, verdict, _)] = &answers[..] else {
         panic!("the caller got {answers:?}");
     };
     assert_eq!(*verdict, Verdict::MayHaveRun);
     answer(&mut harness, &first, b"late");
-    let (_, answers) = take_outcome(&mut harness);
+    let Outcome { answers, .. } = take_outcome(&mut harness);
     assert!(answers.is_empty(), "a second answer: {answers:?}");
 }
 
@@ -104,10 +115,10 @@
     let mut harness = harness();
     let first = send_write(&mut harness);
     change_owners(&mut harness, ["h4", "h5"]);
-    let (_, answers) = wait(&mut harness, TOLD_WITHIN - 5 * STEP);
+    let Outcome { answers, .. } = wait(&mut harness, TOLD_WITHIN - 5 * STEP);
     assert!(answers.is_empty(), "given up early: {answers:?}");
     answer(&mut harness, &first, b"late");
-    let (_, answers) = take_outcome(&mut harness);
+    let Outcome { answers, .. } = take_outcome(&mut harness);
     assert_eq!(answers, [(1, Verdict::Ran, b"late".to_vec())]);
 }
 
@@ -121,10 +132,10 @@
     assert_ne!(first.0, second.0, "it was sent to an owner of before");
     assert_ne!(first.1.id, second.1.id);
     answer(&mut harness, &first, b"first");
-    let (runs, answers) = take_outcome(&mut harness);
+    let Outcome { runs, answers } = take_outcome(&mut harness);
     assert!(runs.is_empty() && answers.is_empty(), "{answers:?}");
     answer(&mut harness, &second, b"second");
-    let (_, answers) = take_outcome(&mut harness);
+    let Outcome { answers, .. } = take_outcome(&mut harness);
     assert_eq!(answers, [(2, Verdict::Ran, b"second".to_vec())]);
 }
 
@@ -135,7 +146,7 @@
     let (owner, _) = send_write(&mut harness);
     change_owners(&mut harness, ["h4", "h5"]);
     harness.handle(Event::LinkDown(owner.host));
-    let (runs, answers) = take_outcome(&mut harness);
+    let Outcome { runs, answers } = take_outcome(&mut harness);
     assert!(runs.is_empty(), "the write was sent again to {runs:?}");
     let verdicts: Vec<_> = answers.iter().map(|(_, verdict, _)| *verdict).collect();
     assert_eq!(verdicts, [Verdict::MayHaveRun]);
