--- a/crates/decide/src/entry/owner_check.rs
+++ b/crates/decide/src/entry/owner_check.rs
@@ -34,6 +34,7 @@
     due_at: Instant,
     /// Whether a check is under way.
     sent: bool,
+    /// Whether it has left a check unanswered and has sent nothing since.
     silent: bool,
 }
 
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -180,7 +180,7 @@
         usable
     }
 
-    /// Returns whether an upstream has a live owner that has not recently failed to reach it.
+    /// Returns whether an upstream has an owner that requests may be sent to.
     fn has_usable_owner(
         &self,
         now: Instant,
