authority: keep silent instances in the account of who may confirm writes

Cause: an instance whose announcement had lapsed and whose probes had failed left the service's members, as if it had ended. Cut off from the control hosts alone, it went on receiving from the next primary and confirmed its commits, while that primary was replaced: between the fence of the one remaining replica (16.93 s) and the lead of that one (17.24 s).

Ruled out: a fence that ended early (the successor would have the commits) and an order carried out twice (two promotions).

Change: a member leaves only on evidence that its process has ended (another instance at its address, a withdrawal, 20 s of refused connections without an announcement). While an instance that may confirm is silent, the primary is not replaced and no replica is fenced in vain. A primary that answers is demoted, which makes silent replicas irrelevant. Related path: the answer of another instance at a member's address counted as a sign of life.

Weighed: a refused connection as proof that nothing runs.

--- a/crates/decide/src/authority.rs
+++ b/crates/decide/src/authority.rs
@@ -12,6 +12,7 @@
 
 pub(crate) mod failover;
 pub(crate) mod failure_detection;
+pub(crate) mod instance;
 pub(crate) mod log_event;
 pub(crate) mod service;
 
@@ -21,6 +22,7 @@
 use model::{HashMap, ServiceId, UpstreamId};
 use serde::{Deserialize, Serialize};
 
+pub use crate::authority::instance::EndEvidence;
 pub use crate::authority::log_event::AuthorityLogEvent;
 use crate::authority::service::MonitoredService;
 use crate::raft::{LogIndex, PromotionTicket};
@@ -152,15 +154,22 @@
     }
 
     /// Updates the services and their instances from a new view.
-    pub fn sync(&mut self, cx: &mut Cx<'_>, view: &View) {
+    ///
+    /// `has_withdrawn` tells whether an instance that isn't in the view has withdrawn.
+    pub fn sync(
+        &mut self,
+        cx: &mut Cx<'_>,
+        view: &View,
+        has_withdrawn: impl Fn(&UpstreamId) -> bool,
+    ) {
         for (name, service_view) in &view.services {
             let service = self.services.entry(name.clone());
             let service = service.or_insert_with(|| MonitoredService::new(name.clone(), cx.now));
-            service.sync(cx, view, service_view);
+            service.sync(cx, view, service_view, &has_withdrawn);
         }
         for (name, service) in &mut self.services {
             if !view.services.contains_key(name) {
-                service.mark_all_unannounced(cx.now);
+                service.sync_unannounced(cx, view, &has_withdrawn);
             }
         }
         self.step(cx);
--- a/crates/decide/src/authority/failover.rs
+++ b/crates/decide/src/authority/failover.rs
@@ -11,8 +11,9 @@
 
 use model::{Position, UpstreamId};
 
+use crate::authority::instance::MonitoredInstance;
 use crate::authority::service::{
-    FAST_PROBE_INTERVAL, FailoverStage, MonitoredInstance, MonitoredService, RETRY_PAUSE,
+    FAST_PROBE_INTERVAL, FailoverStage, MonitoredService, RETRY_PAUSE,
 };
 use crate::authority::{
     AuthorityLogEvent, Outbox, PendingQuery, PromotionError, PromotionOrder, QueryPurpose,
@@ -28,17 +29,52 @@
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(2500);
 
 impl MonitoredService {
-    /// Returns the replicas that must be fenced before a successor is chosen: all instances
-    /// except a primary that still leads or doesn't answer.
+    /// Returns the instances that must be fenced before a successor is chosen.
+    ///
+    /// These are all that may confirm writes: all but a primary that still leads or doesn't answer.
+    /// Where the primary answers, it is demoted and then fenced itself. Nothing is confirmed after
+    /// that, so that silent instances aren't needed, unless one may lead by an order to it.
     pub(crate) fn replicas_to_fence(&self) -> BTreeSet<UpstreamId> {
         let primary = self.primary.as_ref().map(|(_, id)| id);
-        let replicas = self
-            .members
-            .iter()
-            .filter(|(id, member)| Some(*id) != primary || member.is_replica());
+        let demotable = self.primary_is_active() && !self.keeps_primary();
+        let primary_answers = demotable || self.primary_is_demoted();
+        let replicas = self.members.iter().filter(|(id, member)| {
+            let may_lead = self.ordered.contains(*id);
+            let needed = !member.is_silent() || !primary_answers || may_lead;
+            needed && (Some(*id) != primary || member.is_replica())
+        });
         replicas.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Returns an instance that doesn't answer and may go on confirming writes, if there is one.
+    ///
+    /// While there is, no attempt is of use: replicas that are fenced for nothing keep a primary
+    /// that only this host can't reach from acknowledging writes.
+    pub(crate) fn silent_confirmer(&self) -> Option<&UpstreamId> {
+        let required = self.replicas_to_fence();
+        let mut members = self.members.iter();
+        let silent = members.find(|(id, member)| required.contains(*id) && member.is_silent());
+        silent.map(|(id, _)| id)
+    }
+
+    /// Returns whether this leader has demoted the known primary, which answers as a replica now.
+    fn primary_is_demoted(&self) -> bool {
+        let primary = self.primary.as_ref();
+        let primary = primary.and_then(|(_, id)| self.members.get(id));
+        self.has_demoted_primary && primary.is_some_and(MonitoredInstance::is_replica)
+    }
+
+    /// Returns whether the current attempt keeps the present primary.
+    fn keeps_primary(&self) -> bool {
+        matches!(
+            self.stage,
+            FailoverStage::Fencing {
+                keep_primary: true,
+                ..
+            }
+        )
+    }
+
     /// Returns the primary if it leads and must be demoted before a successor is chosen.
     ///
     /// One that is kept leads on, unless it drains.
@@ -120,7 +156,7 @@
 
     /// Chooses the fenced replica with the highest position and requests its promotion.
     ///
-    /// Does nothing while a lost replica may have writes that the best fenced one lacks.
+    /// Does nothing while an ended replica may have writes that the best fenced one lacks.
     pub(crate) fn choose_successor(&mut self, cx: &mut Cx<'_>, outbox: &mut Outbox) {
         let FailoverStage::Fencing {
             fenced,
@@ -145,11 +181,15 @@
         let best = fenced
             .iter()
             .max_by_key(|(id, (position, _))| (*position, in_doubt(id), is_available(id)));
+        // No write is acknowledged above the position of a primary that was demoted.
+        let primary_is_fenced = self.primary_is_demoted()
+            && (self.primary.as_ref()).is_some_and(|(_, id)| fenced.contains_key(id));
         let has_every_write = |position: Position| {
-            self.lost_replicas.values().all(|lost| {
-                let primary_position = lost.primary_position_after;
-                primary_position.is_some_and(|primary_position| position >= primary_position)
-            })
+            primary_is_fenced
+                || self.ended_replicas.values().all(|ended| {
+                    let primary_position = ended.primary_position_after;
+                    primary_position.is_some_and(|primary_position| position >= primary_position)
+                })
         };
         let best = best.filter(|(_, (position, _))| has_every_write(*position));
         let Some((chosen, (position, _))) = best else {
@@ -215,6 +255,7 @@
         {
             return self.end_attempt_without_order(cx, outbox, "restarted");
         }
+        self.ordered.insert(chosen.clone());
         cx.log(AuthorityLogEvent::PromotionOrdered {
             service: self.name.clone(),
             upstream: chosen.clone(),
@@ -361,6 +402,7 @@
         match result {
             Ok(reply) if reply.granted => {
                 *next_request_at = cx.now;
+                self.has_demoted_primary = true;
                 cx.log(AuthorityLogEvent::PrimaryDemoted {
                     service: self.name.clone(),
                     upstream: id.clone(),
--- a/crates/decide/src/authority/failure_detection.rs
+++ b/crates/decide/src/authority/failure_detection.rs
@@ -7,9 +7,8 @@
 
 use crate::Cx;
 use crate::authority::AuthorityLogEvent;
-use crate::authority::service::{
-    FailoverStage, LOST_AFTER_FAILED_PROBES, MonitoredInstance, MonitoredService,
-};
+use crate::authority::instance::MonitoredInstance;
+use crate::authority::service::{FailoverStage, MonitoredService};
 
 /// How long an attempt may take to fence all replicas.
 const FENCE_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -19,7 +18,19 @@
 impl MonitoredService {
     /// Starts an attempt with a new fence term if the primary must be replaced.
     pub(crate) fn start_attempt_if_needed(&mut self, cx: &mut Cx<'_>) {
-        let Some(reason) = self.replace_reason(cx.now) else {
+        let reason = self.replace_reason(cx.now);
+        let held_up_by = reason.and_then(|_| self.silent_confirmer().cloned());
+        if held_up_by != self.held_up_by {
+            self.held_up_by.clone_from(&held_up_by);
+            if let Some((upstream, reason)) = held_up_by.clone().zip(reason) {
+                cx.log(AuthorityLogEvent::ReplacementHeldUp {
+                    service: self.name.clone(),
+                    upstream,
+                    reason,
+                });
+            }
+        }
+        let Some(reason) = reason.filter(|_| held_up_by.is_none()) else {
             return;
         };
         self.attempt_number += 1;
@@ -48,7 +59,8 @@
         });
         // A new order for the active primary makes every earlier order void. With all replicas
         // fenced, the primary has every write, even if an earlier order is carried out first.
-        let keep_primary = self.order_in_doubt && self.primary_is_active();
+        let all_answer = !self.members.values().any(MonitoredInstance::is_silent);
+        let keep_primary = self.order_in_doubt && self.primary_is_active() && all_answer;
         self.stage = FailoverStage::Fencing {
             keep_primary,
             term: self.fence_term,
@@ -89,7 +101,7 @@
         let Some(primary) = self.members.get(id) else {
             return Some("gone");
         };
-        if primary.failed_probes >= LOST_AFTER_FAILED_PROBES {
+        if primary.is_silent() {
             return Some("lost");
         }
         let role = primary.status.as_ref().map(|(status, _)| status.role);
@@ -108,9 +120,6 @@
     pub(crate) fn primary_is_active(&self) -> bool {
         let primary = self.primary.as_ref();
         let primary = primary.and_then(|(_, id)| self.members.get(id));
-        primary.is_some_and(|member| {
-            let role = member.status.as_ref().map(|(status, _)| status.role);
-            role == Some(Role::Primary) && member.failed_probes == 0
-        })
+        primary.is_some_and(|member| member.answers_as(Role::Primary))
     }
 }
--- /dev/null
+++ b/crates/decide/src/authority/instance.rs
@@ -0,0 +1,256 @@
+//! One instance of a supervised service, as the consensus leader knows it.
+//!
+//! An instance that stops answering is not thereby known to have ended: it may be cut off from the
+//! leader alone, and go on confirming writes of a primary that it reaches. It leaves the account of
+//! its service only on evidence that its process has ended.
+
+use std::time::{Duration, Instant};
+
+use model::{Announcement, InstanceStatus, Position, Role, Term};
+
+use crate::authority::PendingQuery;
+use crate::upstream_query::{QueryError, QueryReply};
+
+/// Number of successive failed probes on new connections after which an instance counts as silent.
+const SILENT_AFTER_FAILED_PROBES: u32 = 2;
+/// How long the announcement of another instance at the address of an ended one may take; twice
+/// the usual interval between announcements.
+pub(crate) const ANNOUNCEMENT_WAIT: Duration = Duration::from_secs(3);
+/// How long an address must refuse connections before its instance counts as ended.
+///
+/// One that has crashed may start again, and a firewall may refuse connections to a running one.
+const REFUSED_WAIT: Duration = Duration::from_secs(20);
+
+/// Evidence that an instance's process has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndEvidence {
+    /// It has withdrawn its announcement and no longer answers.
+    Withdrawn,
+    /// Another instance is announced at its address, or answers there.
+    AddressReused,
+    /// Its address has refused connections for a long time.
+    ConnectionsRefused,
+}
+
+impl EndEvidence {
+    /// Returns the word for the evidence in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Withdrawn => "withdrawn",
+            Self::AddressReused => "address-reused",
+            Self::ConnectionsRefused => "connections-refused",
+        }
+    }
+}
+
+/// One instance of the service, as the leader knows it.
+#[derive(Debug)]
+pub(crate) struct MonitoredInstance {
+    pub(crate) announcement: Announcement,
+    /// Its last status, and when the query for it was sent.
+    pub(crate) status: Option<(InstanceStatus, Instant)>,
+    /// Term of its fence, or 0 if it isn't fenced.
+    pub(crate) fenced_term: Term,
+    /// When it last answered or refused a query.
+    pub(crate) last_reply_at: Option<Instant>,
+    /// Number of queries on new connections that have failed in a row.
+    pub(crate) failed_probes: u32,
+    /// Whether a probe has not been answered yet.
+    pub(crate) probe_pending: bool,
+    pub(crate) next_probe_at: Instant,
+    /// Since when it has no longer been announced.
+    lapsed_since: Option<Instant>,
+    /// Since when its address has refused all connections.
+    refused_since: Option<Instant>,
+    /// Its end, if another instance has answered at its address.
+    replaced: Option<EndedInstance>,
+    /// Whether another instance is announced at its address.
+    other_announced: bool,
+    /// Whether it has withdrawn its announcement.
+    withdrawn: bool,
+}
+
+/// What a view says of an instance that is not announced any more, or of its address.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AddressState {
+    /// Whether another instance is announced at the address.
+    pub(crate) other_announced: bool,
+    /// Whether that one has started later than this one did.
+    pub(crate) other_is_newer: bool,
+    /// Whether the instance has withdrawn its announcement.
+    pub(crate) withdrawn: bool,
+}
+
+impl MonitoredInstance {
+    /// Returns an instance that has not been probed yet.
+    pub(crate) fn new(announcement: Announcement, now: Instant) -> Self {
+        Self {
+            announcement,
+            status: None,
+            fenced_term: 0,
+            last_reply_at: None,
+            failed_probes: 0,
+            probe_pending: false,
+            next_probe_at: now,
+            lapsed_since: None,
+            refused_since: None,
+            replaced: None,
+            other_announced: false,
+            withdrawn: false,
+        }
+    }
+
+    /// Forgets what an earlier leadership of this host has learned by queries.
+    pub(crate) fn reset(&mut self, now: Instant) {
+        self.probe_pending = false;
+        self.failed_probes = 0;
+        self.next_probe_at = now;
+        self.status = None;
+        self.refused_since = None;
+    }
+
+    /// Returns whether it last reported to be a replica, and answered the last probe.
+    pub(crate) fn is_replica(&self) -> bool {
+        self.answers_as(Role::Replica)
+    }
+
+    /// Returns whether it last reported this role, and answered the last probe.
+    pub(crate) fn answers_as(&self, role: Role) -> bool {
+        let reported = self.status.as_ref().map(|(status, _)| status.role);
+        reported == Some(role) && self.failed_probes == 0
+    }
+
+    /// Returns whether it doesn't answer, so that it can't be fenced.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.failed_probes >= SILENT_AFTER_FAILED_PROBES
+    }
+
+    /// Records an announcement that is in force.
+    pub(crate) fn on_announced(&mut self, announcement: &Announcement, now: Instant) {
+        self.lapsed_since = None;
+        self.withdrawn = false;
+        if self.announcement.incarnation != announcement.incarnation {
+            self.refused_since = None;
+            self.replaced = None;
+        }
+        if self.announcement != *announcement {
+            self.announcement = announcement.clone();
+            self.next_probe_at = now;
+        }
+    }
+
+    /// Records that no announcement of it is in force.
+    pub(crate) fn on_lapsed(&mut self, now: Instant) {
+        self.lapsed_since.get_or_insert(now);
+    }
+
+    /// Records what a view says of its address.
+    pub(crate) fn on_address_state(&mut self, state: AddressState, now: Instant) {
+        self.withdrawn = state.withdrawn && self.lapsed_since.is_some();
+        self.other_announced = state.other_announced;
+        if state.other_is_newer && self.lapsed_since.is_some() {
+            self.replaced.get_or_insert(EndedInstance::new(now));
+        }
+    }
+
+    /// Records the answer to a query, or its failure.
+    pub(crate) fn on_query_reply(
+        &mut self,
+        now: Instant,
+        query: &PendingQuery,
+        result: &Result<QueryReply, QueryError>,
+        retry_after: Duration,
+    ) {
+        match result {
+            Ok(reply) => {
+                self.status = Some((reply.status.clone(), query.asked_at));
+                self.fenced_term = reply.paused_term;
+                self.replaced = None;
+                self.on_answered(now);
+            }
+            Err(QueryError::Refused) => self.on_answered(now),
+            Err(error) => {
+                self.failed_probes += u32::from(query.new_connection);
+                match error {
+                    QueryError::ConnectionRefused => {
+                        self.refused_since.get_or_insert(now);
+                    }
+                    QueryError::OtherUpstream => {
+                        self.replaced.get_or_insert(EndedInstance::new(now));
+                        self.failed_probes = self.failed_probes.max(SILENT_AFTER_FAILED_PROBES);
+                    }
+                    _ => self.refused_since = None,
+                }
+                self.next_probe_at = self.next_probe_at.min(now + retry_after);
+            }
+        }
+    }
+
+    fn on_answered(&mut self, now: Instant) {
+        self.last_reply_at = Some(now);
+        self.failed_probes = 0;
+        self.refused_since = None;
+    }
+
+    /// Records the status of the primary, by the query for which no replica was fenced.
+    pub(crate) fn on_primary_position(&mut self, position: Position, asked_at: Instant) {
+        if let Some(ended) = &mut self.replaced {
+            ended.on_primary_position(position, asked_at);
+        }
+    }
+
+    /// Returns its end, as far as known, when it leaves the account.
+    pub(crate) fn into_ended(self, now: Instant) -> EndedInstance {
+        self.replaced.unwrap_or(EndedInstance::new(now))
+    }
+
+    /// Returns the evidence that its process has ended, if there is any.
+    ///
+    /// Another instance that answers at its address may belong to the same service and confirm
+    /// writes too, so the announcement of that one is waited for.
+    pub(crate) fn end_evidence(&self, now: Instant) -> Option<EndEvidence> {
+        let lasts = |since: Option<Instant>, wait: Duration| {
+            since.is_some_and(|since| now.saturating_duration_since(since) >= wait)
+        };
+        let replaced_since = self.replaced.as_ref().map(|ended| ended.since);
+        if replaced_since.is_some() && self.other_announced
+            || lasts(replaced_since, ANNOUNCEMENT_WAIT)
+        {
+            return Some(EndEvidence::AddressReused);
+        }
+        let answers = self.status.is_some() && self.failed_probes == 0;
+        if self.withdrawn && !answers {
+            return Some(EndEvidence::Withdrawn);
+        }
+        let refused = self.lapsed_since.is_some() && lasts(self.refused_since, REFUSED_WAIT);
+        refused.then_some(EndEvidence::ConnectionsRefused)
+    }
+}
+
+/// An instance that has ended.
+///
+/// It may have confirmed writes that no remaining instance has.
+#[derive(Debug)]
+pub(crate) struct EndedInstance {
+    /// When its end was found out.
+    pub(crate) since: Instant,
+    /// Log position of the primary after the end. An instance that has reached it has every write
+    /// that the ended one may have confirmed.
+    pub(crate) primary_position_after: Option<Position>,
+}
+
+impl EndedInstance {
+    fn new(since: Instant) -> Self {
+        Self {
+            since,
+            primary_position_after: None,
+        }
+    }
+
+    /// Records the primary's log position, unless it was asked for before the end.
+    pub(crate) fn on_primary_position(&mut self, position: Position, asked_at: Instant) {
+        if self.since < asked_at {
+            self.primary_position_after.get_or_insert(position);
+        }
+    }
+}
--- a/crates/decide/src/authority/log_event.rs
+++ b/crates/decide/src/authority/log_event.rs
@@ -6,6 +6,7 @@
 use model::{Position, ServiceId, Term, UpstreamId};
 
 use crate::authority::PromotionError;
+use crate::authority::instance::EndEvidence;
 use crate::log_event::NumberedEvent;
 use crate::raft::LogIndex;
 
@@ -84,6 +85,24 @@
         /// Why the attempt ended.
         reason: &'static str,
     },
+    /// A primary must be replaced, but an instance that may confirm its writes can't be fenced.
+    ReplacementHeldUp {
+        /// Service whose primary must be replaced.
+        service: ServiceId,
+        /// Instance that doesn't answer.
+        upstream: UpstreamId,
+        /// Why the primary must be replaced.
+        reason: &'static str,
+    },
+    /// An instance has ended and can confirm no more writes.
+    InstanceEnded {
+        /// Service of the instance.
+        service: ServiceId,
+        /// Instance that has ended.
+        upstream: UpstreamId,
+        /// How that is known.
+        evidence: EndEvidence,
+    },
 }
 
 impl NumberedEvent for AuthorityLogEvent {
@@ -97,12 +116,16 @@
             Self::PrimaryConfirmed { .. } => 355,
             Self::ReplacementStopped { .. } => 356,
             Self::PrimaryDemoted { .. } => 357,
+            Self::ReplacementHeldUp { .. } => 358,
+            Self::InstanceEnded { .. } => 359,
         }
     }
 
     fn level(&self) -> log::Level {
         match self {
-            Self::ReplacementWanted { .. } | Self::ReplacementStopped { .. } => log::Level::Warn,
+            Self::ReplacementWanted { .. }
+            | Self::ReplacementStopped { .. }
+            | Self::ReplacementHeldUp { .. } => log::Level::Warn,
             _ => log::Level::Info,
         }
     }
@@ -182,6 +205,23 @@
             Self::ReplacementStopped { service, reason } => {
                 write!(f, "replacement-stopped service={service} reason={reason}")
             }
+            Self::ReplacementHeldUp {
+                service,
+                upstream,
+                reason,
+            } => write!(
+                f,
+                "replacement-held-up service={service} upstream={upstream} reason={reason}"
+            ),
+            Self::InstanceEnded {
+                service,
+                upstream,
+                evidence,
+            } => write!(
+                f,
+                "instance-ended service={service} upstream={upstream} evidence={}",
+                evidence.name()
+            ),
         }
     }
 }
--- a/crates/decide/src/authority/service.rs
+++ b/crates/decide/src/authority/service.rs
@@ -1,11 +1,14 @@
 //! State of one service whose primary the consensus leader supervises: its instances and the
 //! attempt to replace the primary.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use model::{Announcement, InstanceStatus, Position, Role, ServiceId, Term, UpstreamId};
+use model::{Position, Role, ServiceId, Term, UpstreamId};
 
+use crate::authority::instance::{
+    ANNOUNCEMENT_WAIT, AddressState, EndedInstance, MonitoredInstance,
+};
 use crate::authority::{AuthorityLogEvent, Outbox, PendingQuery, QueryPurpose};
 use crate::event::Event;
 use crate::raft::LogIndex;
@@ -16,58 +19,14 @@
 
 /// Interval between probes of an instance that has failed to answer or is being promoted.
 pub(crate) const FAST_PROBE_INTERVAL: Duration = Duration::from_millis(60);
-/// Number of successive failed probes on new connections after which an instance counts as lost.
-pub(crate) const LOST_AFTER_FAILED_PROBES: u32 = 2;
-/// How long to wait for all instances of a newly known service to announce themselves; twice the
-/// usual interval between announcements.
-const ANNOUNCEMENT_WAIT: Duration = Duration::from_secs(3);
 /// Pause after a failed attempt or a change of leader before the next attempt.
 pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Pause before the next attempt to replace a draining primary that leads again because no replica
 /// had all its writes.
 const DRAINING_PRIMARY_PAUSE: Duration = Duration::from_secs(1);
-/// How long a failover waits for the return of a lost replica that may have writes which no
+/// How long a failover waits for the return of an ended replica that may have writes which no
 /// other instance has.
-const LOST_REPLICA_WAIT: Duration = Duration::from_secs(20);
-
-/// One instance of the service, as the leader knows it.
-#[derive(Debug)]
-pub(crate) struct MonitoredInstance {
-    pub(crate) announcement: Announcement,
-    /// Its last status, and when the query for it was sent.
-    pub(crate) status: Option<(InstanceStatus, Instant)>,
-    /// Term of its fence, or 0 if it isn't fenced.
-    pub(crate) fenced_term: Term,
-    /// When it last answered or refused a query.
-    pub(crate) last_reply_at: Option<Instant>,
-    /// Number of queries on new connections that have failed in a row.
-    pub(crate) failed_probes: u32,
-    /// Whether a probe has not been answered yet.
-    pub(crate) probe_pending: bool,
-    pub(crate) next_probe_at: Instant,
-    /// Since when it has no longer been announced.
-    pub(crate) lapsed_since: Option<Instant>,
-}
-
-impl MonitoredInstance {
-    /// Returns whether it last reported to be a replica, and answered the last probe.
-    pub(crate) fn is_replica(&self) -> bool {
-        let role = self.status.as_ref().map(|(status, _)| status.role);
-        role == Some(Role::Replica) && self.failed_probes == 0
-    }
-}
-
-/// A replica that is no longer announced and doesn't answer.
-///
-/// It may have acknowledged writes that no remaining replica has.
-#[derive(Debug)]
-pub(crate) struct LostReplica {
-    /// When it was found lost.
-    pub(crate) since: Instant,
-    /// Log position of the primary after the loss. A replica that has reached it has every write
-    /// that the lost replica may have acknowledged.
-    pub(crate) primary_position_after: Option<Position>,
-}
+const ENDED_REPLICA_WAIT: Duration = Duration::from_secs(20);
 
 /// Progress of the attempt to replace the primary.
 #[derive(Debug)]
@@ -113,7 +72,8 @@
 pub(crate) struct MonitoredService {
     pub(crate) name: ServiceId,
     pub(crate) members: BTreeMap<UpstreamId, MonitoredInstance>,
-    pub(crate) lost_replicas: BTreeMap<UpstreamId, LostReplica>,
+    /// Former members that have ended and may have writes which no member has.
+    pub(crate) ended_replicas: BTreeMap<UpstreamId, EndedInstance>,
     /// The newest known primary and its term.
     pub(crate) primary: Option<(Term, UpstreamId)>,
     pub(crate) stage: FailoverStage,
@@ -134,6 +94,12 @@
     pub(crate) fence_term: Term,
     /// Number of the current or last attempt; answers to requests of other attempts don't count.
     pub(crate) attempt_number: u64,
+    /// Whether this leader has demoted the known primary since that last reported to lead.
+    pub(crate) has_demoted_primary: bool,
+    /// The instances that were ordered to lead since a primary was last confirmed.
+    pub(crate) ordered: BTreeSet<UpstreamId>,
+    /// The instance that keeps the primary from being replaced, if that has been logged.
+    pub(crate) held_up_by: Option<UpstreamId>,
 }
 
 impl MonitoredService {
@@ -142,7 +108,7 @@
         Self {
             name,
             members: BTreeMap::new(),
-            lost_replicas: BTreeMap::new(),
+            ended_replicas: BTreeMap::new(),
             primary: None,
             stage: FailoverStage::Idle {
                 next_attempt_at: now,
@@ -155,6 +121,9 @@
             fenced_by_this_leader: false,
             fence_term: 0,
             attempt_number: 0,
+            has_demoted_primary: false,
+            ordered: BTreeSet::new(),
+            held_up_by: None,
         }
     }
 
@@ -167,42 +136,34 @@
         self.settle_doubt();
         self.earlier_orders_void = false;
         self.fenced_by_this_leader = false;
+        self.has_demoted_primary = false;
+        self.ordered.clear();
+        self.held_up_by = None;
         for member in self.members.values_mut() {
-            member.probe_pending = false;
-            member.failed_probes = 0;
-            member.next_probe_at = now;
-            member.status = None;
+            member.reset(now);
         }
     }
 
     /// Updates the instances and the primary from a new view.
-    pub(crate) fn sync(&mut self, cx: &mut Cx<'_>, view: &View, service_view: &ServiceView) {
+    pub(crate) fn sync(
+        &mut self,
+        cx: &mut Cx<'_>,
+        view: &View,
+        service_view: &ServiceView,
+        has_withdrawn: &impl Fn(&UpstreamId) -> bool,
+    ) {
         let now = cx.now;
-        self.update_lost_members(now, |id| !service_view.upstreams.contains(id));
         for id in &service_view.upstreams {
             let Some(upstream_view) = view.upstreams.get(id) else {
                 continue;
             };
-            self.lost_replicas.remove(id);
-            let member = self
-                .members
-                .entry(id.clone())
-                .or_insert_with(|| MonitoredInstance {
-                    announcement: upstream_view.announcement.clone(),
-                    status: None,
-                    fenced_term: 0,
-                    last_reply_at: None,
-                    failed_probes: 0,
-                    probe_pending: false,
-                    next_probe_at: now,
-                    lapsed_since: None,
-                });
-            member.lapsed_since = None;
-            if member.announcement != upstream_view.announcement {
-                member.announcement = upstream_view.announcement.clone();
-                member.next_probe_at = now;
-            }
+            let announcement = &upstream_view.announcement;
+            self.ended_replicas.remove(id);
+            let new = || MonitoredInstance::new(announcement.clone(), now);
+            let member = self.members.entry(id.clone()).or_insert_with(new);
+            member.on_announced(announcement, now);
         }
+        self.sync_unannounced(cx, view, has_withdrawn);
         if let Some((term, id)) = &service_view.primary
             && *term > self.primary_term()
         {
@@ -210,46 +171,59 @@
         }
     }
 
-    /// Marks all instances as no longer announced.
-    pub(crate) fn mark_all_unannounced(&mut self, now: Instant) {
-        self.update_lost_members(now, |_| true);
+    /// Updates the instances that are not announced, and removes those that have ended.
+    pub(crate) fn sync_unannounced(
+        &mut self,
+        cx: &mut Cx<'_>,
+        view: &View,
+        has_withdrawn: &impl Fn(&UpstreamId) -> bool,
+    ) {
+        for (id, member) in &mut self.members {
+            if !view.upstreams.contains_key(id) {
+                member.on_lapsed(cx.now);
+            }
+            let known = &member.announcement;
+            let others = view.upstreams.values().map(|other| &other.announcement);
+            let mut others =
+                others.filter(|other| other.addr == known.addr && other.upstream != *id);
+            let other = others.next();
+            let state = AddressState {
+                other_announced: other.is_some(),
+                other_is_newer: other.is_some_and(|other| other.incarnation > known.incarnation),
+                withdrawn: has_withdrawn(id),
+            };
+            member.on_address_state(state, cx.now);
+        }
+        self.remove_ended_members(cx);
     }
 
-    /// Marks the instances that are no longer announced, and removes those of them that don't
-    /// answer either.
+    /// Removes the instances whose processes have ended.
     ///
-    /// An instance that still answers is kept, since its announcements may only be delayed.
-    fn update_lost_members(&mut self, now: Instant, gone: impl Fn(&UpstreamId) -> bool) {
-        let gone: Vec<UpstreamId> = self.members.keys().filter(|id| gone(id)).cloned().collect();
-        for id in gone {
-            if let Some(member) = self.members.get_mut(&id) {
-                member.lapsed_since.get_or_insert(now);
-            }
-        }
-        let primary = self.primary.as_ref().map(|(_, id)| id.clone());
-        let lost: Vec<UpstreamId> = self
-            .members
-            .iter()
-            .filter(|(_, member)| {
-                member.lapsed_since.is_some() && member.failed_probes >= LOST_AFTER_FAILED_PROBES
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in lost {
-            self.members.remove(&id);
-            if Some(&id) != primary.as_ref() {
-                let primary_position_after = None;
-                self.lost_replicas.insert(
-                    id,
-                    LostReplica {
-                        since: now,
-                        primary_position_after,
-                    },
-                );
+    /// An instance that is only silent stays: it may confirm writes of a primary that it reaches.
+    fn remove_ended_members(&mut self, cx: &mut Cx<'_>) {
+        let members = self.members.iter();
+        let ended =
+            members.filter_map(|(id, member)| Some((id.clone(), member.end_evidence(cx.now)?)));
+        let ended: Vec<_> = ended.collect();
+        for (id, evidence) in ended {
+            let was_primary = self
+                .primary
+                .as_ref()
+                .is_some_and(|(_, primary)| *primary == id);
+            if let Some(member) = self.members.remove(&id)
+                && !was_primary
+            {
+                self.ended_replicas
+                    .insert(id.clone(), member.into_ended(cx.now));
             }
+            cx.log(AuthorityLogEvent::InstanceEnded {
+                service: self.name.clone(),
+                upstream: id,
+                evidence,
+            });
         }
-        self.lost_replicas
-            .retain(|_, lost| now.saturating_duration_since(lost.since) < LOST_REPLICA_WAIT);
+        self.ended_replicas
+            .retain(|_, ended| cx.now.saturating_duration_since(ended.since) < ENDED_REPLICA_WAIT);
     }
 
     pub(crate) fn primary_term(&self) -> Term {
@@ -277,22 +251,9 @@
         if query.purpose == QueryPurpose::Probe {
             member.probe_pending = false;
         }
-        match &result {
-            Ok(reply) => {
-                member.status = Some((reply.status.clone(), query.asked_at));
-                member.fenced_term = reply.paused_term;
-                member.last_reply_at = Some(cx.now);
-                member.failed_probes = 0;
-                self.record_primary_status(cx, &query.upstream, reply, query.asked_at);
-            }
-            Err(QueryError::Refused) => {
-                member.last_reply_at = Some(cx.now);
-                member.failed_probes = 0;
-            }
-            Err(_) => {
-                member.failed_probes += u32::from(query.new_connection);
-                member.next_probe_at = member.next_probe_at.min(cx.now + FAST_PROBE_INTERVAL);
-            }
+        member.on_query_reply(cx.now, query, &result, FAST_PROBE_INTERVAL);
+        if let Ok(reply) = &result {
+            self.record_primary_status(cx, &query.upstream, reply, query.asked_at);
         }
         let upstream = &query.upstream;
         match query.purpose {
@@ -325,16 +286,16 @@
         // While replicas are fenced, the primary's log position includes writes that can't be
         // acknowledged.
         if self.is_idle() && self.members.values().all(|member| member.fenced_term == 0) {
-            for lost in self
-                .lost_replicas
-                .values_mut()
-                .filter(|lost| lost.since < asked_at)
-            {
-                lost.primary_position_after
-                    .get_or_insert(reply.status.position);
+            let position = reply.status.position;
+            for ended in self.ended_replicas.values_mut() {
+                ended.on_primary_position(position, asked_at);
+            }
+            for member in self.members.values_mut() {
+                member.on_primary_position(position, asked_at);
             }
         }
         self.no_primary_since = None;
+        self.has_demoted_primary = false;
         if let FailoverStage::ConfirmingPrimary { upstream, .. } = &self.stage
             && upstream == id
         {
@@ -348,8 +309,10 @@
             };
             self.settle_doubt();
             self.earlier_orders_void = true;
+            self.ordered.clear();
         }
         if !is_known_primary {
+            self.ordered.clear();
             let term = reply.status.term;
             self.primary = Some((term, id.clone()));
             cx.log(AuthorityLogEvent::PrimaryConfirmed {
@@ -367,7 +330,7 @@
 
     /// Sends due probes, starts an attempt if one is needed, and advances or ends the current one.
     pub(crate) fn step(&mut self, cx: &mut Cx<'_>, outbox: &mut Outbox) {
-        self.update_lost_members(cx.now, |_| false);
+        self.remove_ended_members(cx);
         self.send_due_probes(cx, outbox);
         match &self.stage {
             FailoverStage::Idle { next_attempt_at }
@@ -414,6 +377,7 @@
         };
         let settings = &cx.settings.group;
         let primary = self.primary.as_ref().map(|(_, id)| id.clone());
+        let all_matter = primary.is_none() || self.held_up_by.is_some();
         for (id, member) in &mut self.members {
             if member.probe_pending || cx.now < member.next_probe_at {
                 continue;
@@ -423,7 +387,7 @@
             let interval =
                 if promoted.as_ref() == Some(id) || (failing && member.failed_probes < 20) {
                     FAST_PROBE_INTERVAL
-                } else if primary.as_ref() == Some(id) || primary.is_none() {
+                } else if primary.as_ref() == Some(id) || all_matter {
                     settings.probe_every
                 } else {
                     settings.probe_others_every
--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use model::{CallId, HostId, HostInfo, PartAddr};
+use model::{CallId, HostId, HostInfo, PartAddr, UpstreamId};
 
 use crate::authority::{AuthorityKind, QuorumAuthority};
 use crate::call::{Call, Reply};
@@ -222,7 +222,8 @@
     fn publish_view(&mut self, cx: &mut Cx<'_>) {
         let view = Arc::new(self.spread.view(cx.now));
         if quorum_replaces_primaries(cx) {
-            self.authority.sync(cx, &view);
+            let has_withdrawn = |id: &UpstreamId| self.spread.has_withdrawn(id);
+            self.authority.sync(cx, &view, has_withdrawn);
         } else {
             self.groups.sync(cx, &view);
         }
--- a/crates/decide/src/spread/announce.rs
+++ b/crates/decide/src/spread/announce.rs
@@ -46,6 +46,12 @@
         }
     }
 
+    /// Returns whether the last that is known of an upstream is that it has withdrawn.
+    pub fn has_withdrawn(&self, upstream: &UpstreamId) -> bool {
+        let known = self.upstream_fact(upstream);
+        known.is_some_and(|(announcement, live)| announcement.leaving && !live)
+    }
+
     /// Handles an announcement that another host has forwarded to this owner.
     ///
     /// An owner that has been asked for a renewal may pass on one that it has had for some time.
--- a/crates/decide/src/upstream_query.rs
+++ b/crates/decide/src/upstream_query.rs
@@ -84,8 +84,12 @@
 /// Why a query to an upstream got no reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QueryError {
-    /// A new connection could not be made.
+    /// A new connection could not be made, for no known reason.
     Unreachable,
+    /// Its address refused the connection: no process listens there, or a firewall rejects it.
+    ConnectionRefused,
+    /// Another upstream answers at its address.
+    OtherUpstream,
     /// The connection was open, but no answer came in time.
     Silent,
     /// The connection was open and broke.
--- a/crates/decide/tests/authority.rs
+++ b/crates/decide/tests/authority.rs
@@ -6,6 +6,7 @@
 #![allow(clippy::unwrap_used, reason = "a test that meets an error ends there")]
 
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -26,13 +27,22 @@
     /// The term of the query `pause` that fenced the replica, so that it receives no writes; 0 if it
     /// isn't fenced.
     fenced_term: Term,
-    /// Whether the instance answers queries.
-    reachable: bool,
+    /// Why the leader's queries to the instance fail; `None` if they are answered.
+    query_error: Option<QueryError>,
     /// Whether the instance announces that it drains.
     draining: bool,
     incarnation: u64,
 }
 
+impl Instance {
+    /// Cuts the instance off from the leader, which gets no answer from it.
+    ///
+    /// Other instances still reach it, so a replica goes on receiving.
+    fn cut_off(&mut self) {
+        self.query_error = Some(QueryError::Unreachable);
+    }
+}
+
 /// Returns an instance that is reachable and neither fenced nor draining.
 fn instance(role: Role) -> Instance {
     Instance {
@@ -40,12 +50,17 @@
         term: 1,
         position: Position::new(1, 10),
         fenced_term: 0,
-        reachable: true,
+        query_error: None,
         draining: false,
         incarnation: 1,
     }
 }
 
+/// Returns the address of an instance; names with the same first letter share one.
+fn address(id: &str) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], u16::from(id.as_bytes()[0])))
+}
+
 /// A consensus leader with three instances of one service.
 struct World {
     now: Instant,
@@ -61,6 +76,8 @@
     /// Whether the platform carries out orders and answers them.
     platform_answers: bool,
     last_order_number: u64,
+    /// Instances that have withdrawn their announcements.
+    withdrawn: Vec<&'static str>,
     /// Answers of instances and platform that the authority has not received yet.
     pending_replies: VecDeque<Event>,
 }
@@ -94,6 +111,7 @@
             orders: Vec::new(),
             platform_answers: true,
             last_order_number: 100,
+            withdrawn: Vec::new(),
             pending_replies: VecDeque::new(),
         };
         world.run_authority(|authority, cx| authority.set_leader(cx, true));
@@ -108,7 +126,7 @@
             let announcement = Announcement {
                 upstream: (*id).into(),
                 service: "pots".into(),
-                addr: "127.0.0.1:2".parse().unwrap(),
+                addr: address(id),
                 data_centre: "dc-1".into(),
                 group_size: 0,
                 slots: 2,
@@ -140,7 +158,9 @@
     /// Gives the authority a view in which only these instances are announced.
     fn announce(&mut self, announced: &[&'static str]) {
         let view = Arc::new(self.view(announced));
-        self.run_authority(|authority, cx| authority.sync(cx, &view));
+        let withdrawn = self.withdrawn.clone();
+        let has_withdrawn = |id: &UpstreamId| withdrawn.iter().any(|name| **id == **name);
+        self.run_authority(|authority, cx| authority.sync(cx, &view, has_withdrawn));
     }
 
     /// Calls the authority and handles its events and effects.
@@ -194,8 +214,8 @@
         query: &UpstreamQuery,
     ) -> Result<QueryReply, QueryError> {
         let instance = self.instances.get_mut(&**upstream).unwrap();
-        if !instance.reachable {
-            return Err(QueryError::Unreachable);
+        if let Some(error) = instance.query_error {
+            return Err(error);
         }
         match query {
             UpstreamQuery::Pause { term } if instance.role == Role::Replica => {
@@ -231,7 +251,7 @@
         for (id, instance) in &mut self.instances {
             let chosen = **id == **upstream;
             instance.role = if chosen { Role::Primary } else { Role::Replica };
-            if instance.reachable {
+            if instance.query_error.is_none() {
                 instance.term = term;
             }
             if chosen {
@@ -294,6 +314,25 @@
         (received.count() > 0).then_some(position)
     }
 
+    /// Cuts the primary off from the leader and returns its successor, once announcements of the
+    /// former primary have lapsed. The former primary is a replica that only the leader can't see.
+    fn replace_unseen_primary(&mut self) -> UpstreamId {
+        self.run(Duration::from_secs(4));
+        self.instances.get_mut("a").unwrap().cut_off();
+        self.run(Duration::from_secs(2));
+        let (_, successor) = self.primary.clone().unwrap();
+        self.announce(&["b", "c"]);
+        self.run(Duration::from_secs(2));
+        successor
+    }
+
+    /// Changes the instance with this name.
+    fn change(&mut self, id: &UpstreamId, change: impl FnOnce(&mut Instance)) {
+        let mut instances = self.instances.iter_mut();
+        let (_, instance) = instances.find(|(name, _)| ***name == **id).unwrap();
+        change(instance);
+    }
+
     fn none_is_fenced(&self) -> bool {
         let mut instances = self.instances.values();
         instances.all(|instance| instance.fenced_term == 0)
@@ -309,7 +348,7 @@
     let mut world = World::new();
     world.run(Duration::from_secs(4));
     world.instances.get_mut("c").unwrap().position = Position::new(1, 12);
-    world.instances.get_mut("a").unwrap().reachable = false;
+    world.instances.get_mut("a").unwrap().cut_off();
     world.run(Duration::from_secs(3));
     assert_eq!(world.ordered_upstreams(), ["c"]);
     assert_eq!(world.primary, Some((2, "c".into())));
@@ -319,8 +358,8 @@
 fn no_order_is_given_while_a_replica_that_may_have_more_is_not_fenced() {
     let mut world = World::new();
     world.run(Duration::from_secs(4));
-    world.instances.get_mut("a").unwrap().reachable = false;
-    world.instances.get_mut("b").unwrap().reachable = false;
+    world.instances.get_mut("a").unwrap().cut_off();
+    world.instances.get_mut("b").unwrap().cut_off();
     world.run(Duration::from_secs(10));
     assert!(world.orders.is_empty(), "{:?}", world.orders);
 }
@@ -328,7 +367,7 @@
 #[test]
 fn no_order_is_given_before_all_instances_can_have_announced_themselves() {
     let mut world = World::new();
-    world.instances.get_mut("a").unwrap().reachable = false;
+    world.instances.get_mut("a").unwrap().cut_off();
     world.run(Duration::from_secs(2));
     assert!(world.orders.is_empty(), "{:?}", world.orders);
     world.run(Duration::from_secs(3));
@@ -350,9 +389,9 @@
     world.run(Duration::from_secs(4));
     // An earlier leader left this replica fenced.
     world.instances.get_mut("b").unwrap().fenced_term = 9;
-    world.instances.get_mut("a").unwrap().reachable = false;
+    world.instances.get_mut("a").unwrap().cut_off();
     world.run(Duration::from_secs(3));
-    world.instances.get_mut("a").unwrap().reachable = true;
+    world.instances.get_mut("a").unwrap().query_error = None;
     world.run(Duration::from_secs(10));
     assert_eq!(world.orders.len(), 1, "{:?}", world.orders);
     assert!(world.none_is_fenced());
@@ -377,7 +416,7 @@
     let mut world = World::new();
     world.run(Duration::from_secs(4));
     world.platform_answers = false;
-    world.instances.get_mut("a").unwrap().reachable = false;
+    world.instances.get_mut("a").unwrap().cut_off();
     world.run(Duration::from_secs(5));
     assert!(!world.orders.is_empty());
     assert!(
@@ -500,3 +539,135 @@
             .all(|id| **id == *successor)
     );
 }
+
+/// Guards against lost commits: a replica that only the leader can't see goes on confirming writes.
+///
+/// It left the account when its announcements had lapsed and its probes had failed. The next
+/// primary was then replaced while that replica confirmed writes which the successor lacked.
+#[test]
+fn no_order_is_given_while_a_replica_that_only_the_leader_cannot_see_confirms_writes() {
+    let mut world = World::new();
+    let primary = world.replace_unseen_primary();
+    world.platform_answers = false;
+    world.change(&primary, Instance::cut_off);
+    for _ in 0..300 {
+        world.run(Duration::from_millis(100));
+        let acknowledged = world.acknowledge_write();
+        for order in &world.orders[1..] {
+            let has = world.instances[&*order.upstream].position;
+            assert!(
+                acknowledged.is_none_or(|position| position <= has),
+                "acknowledged {acknowledged:?}, {} is ordered to lead and has {has:?}",
+                order.upstream
+            );
+        }
+    }
+    world.platform_answers = true;
+    world.instances.get_mut("a").unwrap().query_error = None;
+    world.announce(&["a", "b", "c"]);
+    world.run(Duration::from_secs(3));
+    assert_eq!(
+        world.primary.as_ref().map(|(term, _)| *term),
+        Some(3),
+        "not replaced though all replicas can be fenced"
+    );
+}
+
+/// Guards against commits lost behind an address that only the leader's side is refused.
+#[test]
+fn a_refused_connection_does_not_show_that_a_replica_has_ended() {
+    let mut world = World::new();
+    let primary = world.replace_unseen_primary();
+    world.instances.get_mut("a").unwrap().query_error = Some(QueryError::ConnectionRefused);
+    world.run(Duration::from_secs(1));
+    world.change(&primary, Instance::cut_off);
+    world.run(Duration::from_secs(10));
+    assert_eq!(world.orders.len(), 1, "{:?}", world.orders);
+}
+
+/// Guards against a service without a primary after a replica's crash.
+#[test]
+fn a_replica_whose_address_has_refused_connections_for_long_is_not_waited_for() {
+    let mut world = World::new();
+    let primary = world.replace_unseen_primary();
+    world.instances.get_mut("a").unwrap().query_error = Some(QueryError::ConnectionRefused);
+    world.run(Duration::from_secs(25));
+    world.change(&primary, Instance::cut_off);
+    world.run(Duration::from_secs(3));
+    assert_eq!(world.orders.len(), 2, "{:?}", world.orders);
+}
+
+/// Guards against ended instances that each later change of the primary waits for: the answer of
+/// another instance at their address counted as a sign of life.
+#[test]
+fn an_instance_whose_address_another_one_has_taken_is_not_waited_for() {
+    let mut world = World::new();
+    let primary = world.replace_unseen_primary();
+    world.instances.get_mut("a").unwrap().query_error = Some(QueryError::OtherUpstream);
+    world.instances.insert("a2", instance(Role::Replica));
+    world.announce(&["b", "c", "a2"]);
+    world.run(Duration::from_secs(1));
+    world.change(&primary, Instance::cut_off);
+    world.run(Duration::from_secs(3));
+    assert_eq!(world.orders.len(), 2, "{:?}", world.orders);
+    let acknowledged = world.acknowledge_write();
+    assert_eq!(acknowledged.map(|position| position.offset), Some(11));
+}
+
+/// Guards against commits that are lost because a replica which has taken an ended one's address
+/// is not known yet.
+#[test]
+fn a_successor_at_the_address_of_an_ended_replica_is_fenced_before_a_promotion() {
+    let mut world = World::new();
+    let primary = world.replace_unseen_primary();
+    world.instances.get_mut("a").unwrap().query_error = Some(QueryError::OtherUpstream);
+    world.instances.insert("a2", instance(Role::Replica));
+    world.run(Duration::from_secs(1));
+    world.platform_answers = false;
+    world.change(&primary, Instance::cut_off);
+    world.run(Duration::from_millis(1500));
+    assert_eq!(world.orders.len(), 1, "{:?}", world.orders);
+    world.announce(&["b", "c", "a2"]);
+    world.run(Duration::from_secs(1));
+    assert_eq!(world.orders.len(), 2, "{:?}", world.orders);
+    assert!(world.instances["a2"].fenced_term > 0);
+}
+
+#[test]
+fn a_replica_that_has_withdrawn_and_does_not_answer_is_not_waited_for() {
+    let mut world = World::new();
+    let primary = world.replace_unseen_primary();
+    world.withdrawn.push("a");
+    world.announce(&["b", "c"]);
+    world.run(Duration::from_secs(1));
+    world.change(&primary, Instance::cut_off);
+    world.run(Duration::from_secs(3));
+    assert_eq!(world.orders.len(), 2, "{:?}", world.orders);
+}
+
+/// A primary that answers is demoted, so that a silent replica can confirm nothing more.
+#[test]
+fn a_draining_primary_is_replaced_while_a_replica_is_silent() {
+    let mut world = World::new();
+    world.run(Duration::from_secs(4));
+    world.instances.get_mut("c").unwrap().cut_off();
+    world.run(Duration::from_secs(2));
+    let acknowledged = world.acknowledge_write();
+    world.instances.get_mut("a").unwrap().draining = true;
+    world.announce(&["a", "b", "c"]);
+    world.run(Duration::from_secs(3));
+    assert_eq!(world.ordered_upstreams(), ["b"]);
+    assert!(acknowledged <= Some(world.instances["b"].position));
+}
+
+/// Guards against replicas that stay fenced, and writes that wait, while nothing can be ordered.
+#[test]
+fn no_replica_is_fenced_while_the_replacement_is_held_up() {
+    let mut world = World::new();
+    let primary = world.replace_unseen_primary();
+    world.change(&primary, Instance::cut_off);
+    for _ in 0..500 {
+        world.run(Duration::from_millis(10));
+        assert!(world.none_is_fenced());
+    }
+}
--- a/crates/host/src/adapter.rs
+++ b/crates/host/src/adapter.rs
@@ -6,6 +6,7 @@
 //! has no platform); the `platform` crate has another.
 
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -132,6 +133,12 @@
     /// It can't be reached, or did not answer in time.
     #[error("the upstream can't be reached")]
     Unreachable,
+    /// Its address refuses connections.
+    #[error("the upstream's address refuses connections")]
+    ConnectionRefused,
+    /// Another upstream answers at its address.
+    #[error("another upstream answers at its address: {0}")]
+    OtherUpstream(String),
     /// All its connections are in use.
     #[error("the upstream has no connection to spare")]
     Exhausted,
@@ -140,10 +147,21 @@
     Refused(String),
 }
 
+impl From<io::Error> for LoginError {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => Self::ConnectionRefused,
+            _ => Self::Unreachable,
+        }
+    }
+}
+
 impl From<LoginError> for QueryError {
     fn from(error: LoginError) -> Self {
         match error {
             LoginError::Unreachable => Self::Unreachable,
+            LoginError::ConnectionRefused => Self::ConnectionRefused,
+            LoginError::OtherUpstream(_) => Self::OtherUpstream,
             LoginError::Exhausted | LoginError::Refused(_) => Self::Refused,
         }
     }
--- a/crates/host/src/pg_upstream.rs
+++ b/crates/host/src/pg_upstream.rs
@@ -43,8 +43,7 @@
     database: &str,
     cfg: &UpstreamSettings,
 ) -> Result<UpstreamStream, LoginError> {
-    let stream = TcpStream::connect(addr).await;
-    let stream = stream.map_err(|_| LoginError::Unreachable)?;
+    let stream = TcpStream::connect(addr).await?;
     socket_options::set_options_or_warn(&stream);
     let codec = UpstreamCodec::new(cfg.max_answer_bytes);
     let mut stream = Framed::new(stream, codec);
