authority: don't rely on a fence that a late query may end

Cause: the query by which a replica receives again was forgotten once it was sent. One that got no answer was carried out 4.5 s later, 30 ms after the next promotion had been ordered on the strength of that replica's new fence. The replica confirmed commits until the other one led.

Ruled out: a fence that was never in force (it answered with term and position), and one that the promotion ended (carried out only at 14.51 s).

Change: an instance keeps the queries that would end its fence until they are answered, or 30 s old (event 360). With one such replica that one is promoted, since what it goes on to confirm is in its log; with two the replacement is held up (358), unless the primary answers and is demoted.

Tests in authority: a_replica_whose_fence_may_end_late_... failed on the code before (acknowledged offset 11, promoted 10), as did the ones for two such replicas and for queries after a promotion; they pass now.

--- a/crates/decide/src/authority.rs
+++ b/crates/decide/src/authority.rs
@@ -10,6 +10,7 @@
 //!
 //! The platform runs the database instances and carries out the orders.
 
+pub(crate) mod confirmers;
 pub(crate) mod failover;
 pub(crate) mod failure_detection;
 pub(crate) mod instance;
--- /dev/null
+++ b/crates/decide/src/authority/confirmers.rs
@@ -0,0 +1,72 @@
+//! Which instances of a service may still confirm writes of the primary that is to be replaced.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use model::UpstreamId;
+
+use crate::authority::instance::MonitoredInstance;
+use crate::authority::service::{FailoverStage, MonitoredService};
+
+impl MonitoredService {
+    /// Returns the instances that must be fenced before a successor is chosen.
+    ///
+    /// These are all that may confirm writes: all but a primary that still leads or doesn't answer.
+    /// Where the primary answers, it is demoted and then fenced itself. Nothing is confirmed after
+    /// that, so that silent instances aren't needed, unless one may lead by an order to it.
+    pub(crate) fn replicas_to_fence(&self) -> BTreeSet<UpstreamId> {
+        let primary = self.primary.as_ref().map(|(_, id)| id);
+        let demotable = self.primary_is_active() && !self.keeps_primary();
+        let primary_answers = demotable || self.primary_is_demoted();
+        let replicas = self.members.iter().filter(|(id, member)| {
+            let may_lead = self.ordered.contains(*id);
+            let needed = !member.is_silent() || !primary_answers || may_lead;
+            needed && (Some(*id) != primary || member.is_replica())
+        });
+        replicas.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Returns an instance that may go on confirming writes whatever is fenced, if there is one: it
+    /// doesn't answer, or it is one of several whose fences may end.
+    ///
+    /// While there is, no attempt is of use: replicas that are fenced for nothing keep a primary
+    /// that only this host can't reach from acknowledging writes.
+    pub(crate) fn unfenceable(&self, now: Instant) -> Option<&UpstreamId> {
+        let required = self.replicas_to_fence();
+        let members = self.members.iter();
+        let required = members.filter(|(id, _)| required.contains(*id));
+        let mut silent = required.clone().filter(|(_, member)| member.is_silent());
+        if let Some((id, _)) = silent.next() {
+            return Some(id);
+        }
+        if self.primary_is_active() || self.primary_is_demoted() {
+            return None;
+        }
+        let mut uncertain = required.filter(|(_, member)| member.fence_may_end(now));
+        uncertain.nth(1).map(|(id, _)| id)
+    }
+
+    /// Returns whether a query that got no answer may still end the fence of an instance.
+    pub(crate) fn fence_may_end(&self, now: Instant, id: &UpstreamId) -> bool {
+        let member = self.members.get(id);
+        member.is_some_and(|member| member.fence_may_end(now))
+    }
+
+    /// Returns whether this leader has demoted the known primary, which answers as a replica now.
+    pub(crate) fn primary_is_demoted(&self) -> bool {
+        let primary = self.primary.as_ref();
+        let primary = primary.and_then(|(_, id)| self.members.get(id));
+        self.has_demoted_primary && primary.is_some_and(MonitoredInstance::is_replica)
+    }
+
+    /// Returns whether the current attempt keeps the present primary.
+    fn keeps_primary(&self) -> bool {
+        matches!(
+            self.stage,
+            FailoverStage::Fencing {
+                keep_primary: true,
+                ..
+            }
+        )
+    }
+}
--- a/crates/decide/src/authority/failover.rs
+++ b/crates/decide/src/authority/failover.rs
@@ -6,7 +6,7 @@
 //! has every acknowledged write, and no further write can be acknowledged until the order is
 //! carried out.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use model::{Position, UpstreamId};
@@ -29,52 +29,6 @@
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(2500);
 
 impl MonitoredService {
-    /// Returns the instances that must be fenced before a successor is chosen.
-    ///
-    /// These are all that may confirm writes: all but a primary that still leads or doesn't answer.
-    /// Where the primary answers, it is demoted and then fenced itself. Nothing is confirmed after
-    /// that, so that silent instances aren't needed, unless one may lead by an order to it.
-    pub(crate) fn replicas_to_fence(&self) -> BTreeSet<UpstreamId> {
-        let primary = self.primary.as_ref().map(|(_, id)| id);
-        let demotable = self.primary_is_active() && !self.keeps_primary();
-        let primary_answers = demotable || self.primary_is_demoted();
-        let replicas = self.members.iter().filter(|(id, member)| {
-            let may_lead = self.ordered.contains(*id);
-            let needed = !member.is_silent() || !primary_answers || may_lead;
-            needed && (Some(*id) != primary || member.is_replica())
-        });
-        replicas.map(|(id, _)| id.clone()).collect()
-    }
-
-    /// Returns an instance that doesn't answer and may go on confirming writes, if there is one.
-    ///
-    /// While there is, no attempt is of use: replicas that are fenced for nothing keep a primary
-    /// that only this host can't reach from acknowledging writes.
-    pub(crate) fn silent_confirmer(&self) -> Option<&UpstreamId> {
-        let required = self.replicas_to_fence();
-        let mut members = self.members.iter();
-        let silent = members.find(|(id, member)| required.contains(*id) && member.is_silent());
-        silent.map(|(id, _)| id)
-    }
-
-    /// Returns whether this leader has demoted the known primary, which answers as a replica now.
-    fn primary_is_demoted(&self) -> bool {
-        let primary = self.primary.as_ref();
-        let primary = primary.and_then(|(_, id)| self.members.get(id));
-        self.has_demoted_primary && primary.is_some_and(MonitoredInstance::is_replica)
-    }
-
-    /// Returns whether the current attempt keeps the present primary.
-    fn keeps_primary(&self) -> bool {
-        matches!(
-            self.stage,
-            FailoverStage::Fencing {
-                keep_primary: true,
-                ..
-            }
-        )
-    }
-
     /// Returns the primary if it leads and must be demoted before a successor is chosen.
     ///
     /// One that is kept leads on, unless it drains.
@@ -156,7 +110,8 @@
 
     /// Chooses the fenced replica with the highest position and requests its promotion.
     ///
-    /// Does nothing while an ended replica may have writes that the best fenced one lacks.
+    /// Does nothing while an ended replica, or one whose fence may end, may have writes that the best
+    /// fenced one lacks.
     pub(crate) fn choose_successor(&mut self, cx: &mut Cx<'_>, outbox: &mut Outbox) {
         let FailoverStage::Fencing {
             fenced,
@@ -178,12 +133,20 @@
             member.is_some_and(|m| !m.announcement.draining && !m.announcement.warming)
         };
         let in_doubt = |id: &UpstreamId| self.instance_in_doubt.as_ref() == Some(id);
-        let best = fenced
-            .iter()
-            .max_by_key(|(id, (position, _))| (*position, in_doubt(id), is_available(id)));
         // No write is acknowledged above the position of a primary that was demoted.
         let primary_is_fenced = self.primary_is_demoted()
             && (self.primary.as_ref()).is_some_and(|(_, id)| fenced.contains_key(id));
+        let uncertain: Vec<&UpstreamId> = fenced
+            .keys()
+            .filter(|id| !primary_is_fenced && self.fence_may_end(cx.now, id))
+            .collect();
+        let best = fenced.iter().max_by_key(|(id, (position, _))| {
+            let uncertain = uncertain.contains(id);
+            (*position, uncertain, in_doubt(id), is_available(id))
+        });
+        // An instance whose fence may end has whatever it goes on to confirm, so it is safe only to
+        // promote that one.
+        let best = best.filter(|(id, _)| uncertain.iter().all(|other| other == id));
         let has_every_write = |position: Position| {
             primary_is_fenced
                 || self.ended_replicas.values().all(|ended| {
@@ -374,7 +337,7 @@
             let Some(member) = self.members.get_mut(&id) else {
                 continue;
             };
-            member.fenced_term = 0;
+            member.on_unfence_sent(cx.now);
             let query = PendingQuery {
                 service: self.name.clone(),
                 upstream: id,
--- a/crates/decide/src/authority/failure_detection.rs
+++ b/crates/decide/src/authority/failure_detection.rs
@@ -19,7 +19,7 @@
     /// Starts an attempt with a new fence term if the primary must be replaced.
     pub(crate) fn start_attempt_if_needed(&mut self, cx: &mut Cx<'_>) {
         let reason = self.replace_reason(cx.now);
-        let held_up_by = reason.and_then(|_| self.silent_confirmer().cloned());
+        let held_up_by = reason.and_then(|_| self.unfenceable(cx.now).cloned());
         if held_up_by != self.held_up_by {
             self.held_up_by.clone_from(&held_up_by);
             if let Some((upstream, reason)) = held_up_by.clone().zip(reason) {
@@ -59,8 +59,10 @@
         });
         // A new order for the active primary makes every earlier order void. With all replicas
         // fenced, the primary has every write, even if an earlier order is carried out first.
-        let all_answer = !self.members.values().any(MonitoredInstance::is_silent);
-        let keep_primary = self.order_in_doubt && self.primary_is_active() && all_answer;
+        let mut members = self.members.values();
+        let can_fence_all =
+            !members.any(|member| member.is_silent() || member.fence_may_end(cx.now));
+        let keep_primary = self.order_in_doubt && self.primary_is_active() && can_fence_all;
         self.stage = FailoverStage::Fencing {
             keep_primary,
             term: self.fence_term,
--- a/crates/decide/src/authority/instance.rs
+++ b/crates/decide/src/authority/instance.rs
@@ -8,7 +8,7 @@
 
 use model::{Announcement, InstanceStatus, Position, Role, Term};
 
-use crate::authority::PendingQuery;
+use crate::authority::{PendingQuery, QueryPurpose};
 use crate::upstream_query::{QueryError, QueryReply};
 
 /// Number of successive failed probes on new connections after which an instance counts as silent.
@@ -20,6 +20,9 @@
 ///
 /// One that has crashed may start again, and a firewall may refuse connections to a running one.
 const REFUSED_WAIT: Duration = Duration::from_secs(20);
+/// How long a query that got no answer may still be carried out; over twice the longest delay that
+/// the platform states.
+const LATE_QUERY_TIME: Duration = Duration::from_secs(30);
 
 /// Evidence that an instance's process has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,6 +54,10 @@
     pub(crate) status: Option<(InstanceStatus, Instant)>,
     /// Term of its fence, or 0 if it isn't fenced.
     pub(crate) fenced_term: Term,
+    /// When a promotion last ended all fences; earlier reports of a fence are outdated.
+    fences_ended_at: Option<Instant>,
+    /// When the queries that end its fence were sent, of those that may still be carried out.
+    unanswered_unfences: Vec<Instant>,
     /// When it last answered or refused a query.
     pub(crate) last_reply_at: Option<Instant>,
     /// Number of queries on new connections that have failed in a row.
@@ -88,6 +95,8 @@
             announcement,
             status: None,
             fenced_term: 0,
+            fences_ended_at: None,
+            unanswered_unfences: Vec::new(),
             last_reply_at: None,
             failed_probes: 0,
             probe_pending: false,
@@ -161,10 +170,15 @@
         result: &Result<QueryReply, QueryError>,
         retry_after: Duration,
     ) {
+        if query.purpose == QueryPurpose::Unfence {
+            self.on_unfence_reply(query.asked_at, result);
+        }
         match result {
             Ok(reply) => {
                 self.status = Some((reply.status.clone(), query.asked_at));
-                self.fenced_term = reply.paused_term;
+                if self.fences_ended_at.is_none_or(|at| at <= query.asked_at) {
+                    self.fenced_term = reply.paused_term;
+                }
                 self.replaced = None;
                 self.on_answered(now);
             }
@@ -186,6 +200,37 @@
         }
     }
 
+    /// Records that a query that ends its fence was sent.
+    pub(crate) fn on_unfence_sent(&mut self, now: Instant) {
+        self.fenced_term = 0;
+        self.unanswered_unfences
+            .retain(|sent| now < *sent + LATE_QUERY_TIME);
+        self.unanswered_unfences.push(now);
+    }
+
+    /// Forgets a query that ends its fence, unless it may still be carried out.
+    fn on_unfence_reply(&mut self, asked_at: Instant, result: &Result<QueryReply, QueryError>) {
+        let is_settled = !result
+            .as_ref()
+            .is_err_and(|error| error.may_be_carried_out());
+        if is_settled {
+            self.unanswered_unfences.retain(|sent| *sent != asked_at);
+        }
+    }
+
+    /// Returns whether a query that got no answer may still end its fence.
+    pub(crate) fn fence_may_end(&self, now: Instant) -> bool {
+        let mut unanswered = self.unanswered_unfences.iter();
+        unanswered.any(|sent| now < *sent + LATE_QUERY_TIME)
+    }
+
+    /// Records that a promotion has ended all fences; a probe shows whether one lasts all the same.
+    pub(crate) fn on_promotion(&mut self, now: Instant) {
+        self.fenced_term = 0;
+        self.fences_ended_at = Some(now);
+        self.next_probe_at = now;
+    }
+
     fn on_answered(&mut self, now: Instant) {
         self.last_reply_at = Some(now);
         self.failed_probes = 0;
--- a/crates/decide/src/authority/log_event.rs
+++ b/crates/decide/src/authority/log_event.rs
@@ -94,6 +94,13 @@
         /// Why the primary must be replaced.
         reason: &'static str,
     },
+    /// A query that ends a replica's fence got no answer, and may be carried out later.
+    UnfenceUnanswered {
+        /// Service of the replica.
+        service: ServiceId,
+        /// Replica that was asked.
+        upstream: UpstreamId,
+    },
     /// An instance has ended and can confirm no more writes.
     InstanceEnded {
         /// Service of the instance.
@@ -118,6 +125,7 @@
             Self::PrimaryDemoted { .. } => 357,
             Self::ReplacementHeldUp { .. } => 358,
             Self::InstanceEnded { .. } => 359,
+            Self::UnfenceUnanswered { .. } => 360,
         }
     }
 
@@ -125,7 +133,8 @@
         match self {
             Self::ReplacementWanted { .. }
             | Self::ReplacementStopped { .. }
-            | Self::ReplacementHeldUp { .. } => log::Level::Warn,
+            | Self::ReplacementHeldUp { .. }
+            | Self::UnfenceUnanswered { .. } => log::Level::Warn,
             _ => log::Level::Info,
         }
     }
@@ -213,6 +222,12 @@
                 f,
                 "replacement-held-up service={service} upstream={upstream} reason={reason}"
             ),
+            Self::UnfenceUnanswered { service, upstream } => {
+                write!(
+                    f,
+                    "unfence-unanswered service={service} upstream={upstream}"
+                )
+            }
             Self::InstanceEnded {
                 service,
                 upstream,
--- a/crates/decide/src/authority/service.rs
+++ b/crates/decide/src/authority/service.rs
@@ -256,6 +256,13 @@
             self.record_primary_status(cx, &query.upstream, reply, query.asked_at);
         }
         let upstream = &query.upstream;
+        let error = result.as_ref().err();
+        if query.purpose == QueryPurpose::Unfence && error.is_some_and(|e| e.may_be_carried_out()) {
+            cx.log(AuthorityLogEvent::UnfenceUnanswered {
+                service: self.name.clone(),
+                upstream: upstream.clone(),
+            });
+        }
         match query.purpose {
             QueryPurpose::Demote(attempt) if attempt == self.attempt_number => {
                 self.on_demote_reply(cx, upstream, &result);
@@ -310,6 +317,9 @@
             self.settle_doubt();
             self.earlier_orders_void = true;
             self.ordered.clear();
+            for member in self.members.values_mut() {
+                member.on_promotion(cx.now);
+            }
         }
         if !is_known_primary {
             self.ordered.clear();
--- a/crates/decide/src/upstream_query.rs
+++ b/crates/decide/src/upstream_query.rs
@@ -97,3 +97,13 @@
     /// The upstream refused, for instance because it has no connections left.
     Refused,
 }
+
+impl QueryError {
+    /// Returns whether the upstream may have got the query, and may still carry it out.
+    pub fn may_be_carried_out(self) -> bool {
+        match self {
+            Self::Unreachable | Self::Silent | Self::Broken => true,
+            Self::ConnectionRefused | Self::OtherUpstream | Self::Refused => false,
+        }
+    }
+}
--- a/crates/decide/tests/authority.rs
+++ b/crates/decide/tests/authority.rs
@@ -29,6 +29,10 @@
     fenced_term: Term,
     /// Why the leader's queries to the instance fail; `None` if they are answered.
     query_error: Option<QueryError>,
+    /// Whether the next query that ends a fence gets no answer and is carried out later.
+    delays_unfence: bool,
+    /// Whether such a query has not been carried out yet.
+    unfence_delayed: bool,
     /// Whether the instance announces that it drains.
     draining: bool,
     incarnation: u64,
@@ -51,6 +55,8 @@
         position: Position::new(1, 10),
         fenced_term: 0,
         query_error: None,
+        delays_unfence: false,
+        unfence_delayed: false,
         draining: false,
         incarnation: 1,
     }
@@ -75,6 +81,8 @@
     orders: Vec<PromotionOrder>,
     /// Whether the platform carries out orders and answers them.
     platform_answers: bool,
+    /// Whether a promotion ends the fences of all instances.
+    promotion_ends_fences: bool,
     last_order_number: u64,
     /// Instances that have withdrawn their announcements.
     withdrawn: Vec<&'static str>,
@@ -110,6 +118,7 @@
             primary: None,
             orders: Vec::new(),
             platform_answers: true,
+            promotion_ends_fences: false,
             last_order_number: 100,
             withdrawn: Vec::new(),
             pending_replies: VecDeque::new(),
@@ -221,6 +230,11 @@
             UpstreamQuery::Pause { term } if instance.role == Role::Replica => {
                 instance.fenced_term = instance.fenced_term.max(*term);
             }
+            UpstreamQuery::Resume if instance.delays_unfence => {
+                instance.delays_unfence = false;
+                instance.unfence_delayed = true;
+                return Err(QueryError::Silent);
+            }
             UpstreamQuery::Resume => instance.fenced_term = 0,
             UpstreamQuery::Demote { term } if instance.term < *term => {
                 instance.role = Role::Replica;
@@ -241,7 +255,7 @@
     }
 
     /// Makes an instance primary as the platform does; the others stay fenced until they are
-    /// unfenced.
+    /// unfenced, unless the promotion ends their fences.
     fn promote(&mut self, upstream: &UpstreamId) {
         let chosen = &self.instances[&**upstream];
         if chosen.role == Role::Primary {
@@ -254,7 +268,7 @@
             if instance.query_error.is_none() {
                 instance.term = term;
             }
-            if chosen {
+            if chosen || self.promotion_ends_fences {
                 instance.fenced_term = 0;
             }
         }
@@ -333,6 +347,30 @@
         change(instance);
     }
 
+    /// Replaces the draining primary, where queries to end the fences of these instances get no
+    /// answer and are carried out later.
+    fn replace_with_delayed_unfences(&mut self, delayed: &[&str]) -> UpstreamId {
+        self.run(Duration::from_secs(4));
+        for (id, instance) in &mut self.instances {
+            instance.delays_unfence = delayed.contains(id);
+        }
+        self.instances.get_mut("a").unwrap().draining = true;
+        self.announce(&["a", "b", "c"]);
+        self.run(Duration::from_secs(3));
+        let (_, successor) = self.primary.clone().unwrap();
+        assert!(self.none_is_fenced());
+        successor
+    }
+
+    /// Carries out the delayed queries that end fences.
+    fn carry_out_delayed_unfences(&mut self) {
+        let instances = self.instances.values_mut();
+        for instance in instances.filter(|instance| instance.unfence_delayed) {
+            instance.unfence_delayed = false;
+            instance.fenced_term = 0;
+        }
+    }
+
     fn none_is_fenced(&self) -> bool {
         let mut instances = self.instances.values();
         instances.all(|instance| instance.fenced_term == 0)
@@ -671,3 +709,49 @@
         assert!(world.none_is_fenced());
     }
 }
+
+/// Guards against lost commits: a query that ends a fence is carried out late, while a promotion
+/// relies on the fence.
+#[test]
+fn a_replica_whose_fence_may_end_late_confirms_no_write_that_the_successor_lacks() {
+    let mut world = World::new();
+    let primary = world.replace_with_delayed_unfences(&["a"]);
+    assert!(world.instances["a"].unfence_delayed);
+    world.platform_answers = false;
+    world.change(&primary, Instance::cut_off);
+    world.run(Duration::from_secs(2));
+    assert_eq!(world.orders.len(), 2, "{:?}", world.orders);
+    let successor = world.orders[1].upstream.clone();
+    world.carry_out_delayed_unfences();
+    let acknowledged = world.acknowledge_write();
+    world.promote(&successor);
+    let has = world.instances[&*successor].position;
+    assert!(
+        acknowledged.is_some_and(|position| position <= has),
+        "acknowledged {acknowledged:?}, promoted {has:?}"
+    );
+}
+
+/// Guards against lost commits where the fences of two replicas may end late: either may then
+/// confirm writes that the other one lacks.
+#[test]
+fn no_order_is_given_while_the_fences_of_two_replicas_may_end_late() {
+    let mut world = World::new();
+    let primary = world.replace_with_delayed_unfences(&["a", "b", "c"]);
+    world.change(&primary, Instance::cut_off);
+    world.run(Duration::from_secs(10));
+    assert_eq!(world.orders.len(), 1, "{:?}", world.orders);
+    assert!(world.none_is_fenced());
+    world.run(Duration::from_secs(30));
+    assert_eq!(world.orders.len(), 2, "{:?}", world.orders);
+}
+
+#[test]
+fn a_promotion_that_ends_all_fences_is_followed_by_no_further_query() {
+    let mut world = World::new();
+    world.promotion_ends_fences = true;
+    let delayed = ["a", "b", "c"];
+    world.replace_with_delayed_unfences(&delayed);
+    let instances = world.instances.values();
+    assert_eq!(instances.filter(|i| i.unfence_delayed).count(), 0);
+}
