session: end a leaving host's transactions on other hosts' connections

Cause: owner.leave_timeout, the bound for open transactions at a stop, was kept by the owner's side alone, for connections of the host that stops. A transaction mostly runs on a connection of another host. The entry side let it go on until the process ended, with its statement under way.

Ruled out: a slow instance (60 ms a statement), a bound that exists and is missed (there is none on the entry side).

Change: the entry side keeps the bound too. It releases the connections of open transactions, after the answer of a statement under way, refuses their next statement at once ("not run") and opens none. Related path: 250 ms before leave_timeout of the host, each request that has no answer gets one, so that requests that wait at the entry host are not cut off.

--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -108,6 +108,7 @@
             | Event::UpstreamProbed(_)
             | Event::AwaitCommit(_)
             | Event::TokenGrant(_)
+            | Event::LeaveTimedOut
             | Event::View(_) => {}
         }
         if quorum_replaces_primaries(cx) {
--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -96,6 +96,7 @@
         mut req: Request,
     ) {
         let (session_id, request) = id;
+        let transactions_ended = sessions.have_transactions_ended();
         let Some(session) = sessions.get_mut(session_id) else {
             return;
         };
@@ -110,7 +111,7 @@
         let refusal = if session.unreported_transaction_loss {
             session.unreported_transaction_loss = false;
             Some(Refusal::TransactionLost)
-        } else if !view.config_usable {
+        } else if !view.config_usable || transactions_ended {
             Some(Refusal::NotReady)
         } else {
             let ended = session
@@ -416,6 +417,24 @@
         }
     }
 
+    /// Answers every request, since the host stops: what was sent to an owner may have run, and the
+    /// rest has not.
+    pub fn answer_all(&mut self, cx: &mut Cx<'_>, sessions: &mut Sessions) {
+        for (id, pending) in self.requests.drain() {
+            if let Some(target) = &pending.target {
+                cx.send(target.owner.clone(), RelayMsg::Cancel { id });
+            }
+            if pending.answered {
+                continue;
+            }
+            let verdict = match pending.target {
+                Some(_) => Verdict::MayHaveRun,
+                None => Verdict::NotRun(Refusal::NotReady),
+            };
+            answer_without_result(cx, sessions, pending, verdict);
+        }
+    }
+
     /// Tells owners to cancel the requests of a caller that has disconnected.
     ///
     /// A request stays pending until its answer, which may open a transaction to roll back.
--- a/crates/decide/src/entry/pending.rs
+++ b/crates/decide/src/entry/pending.rs
@@ -164,6 +164,13 @@
         self.remove(id).map(|pending| (id, pending))
     }
 
+    /// Removes and returns all requests with the numbers of their latest attempts, in no order.
+    pub(crate) fn drain(&mut self) -> Vec<(RequestId, PendingRequest)> {
+        self.newest_by_earlier.clear();
+        self.timers.clear();
+        self.by_attempt.drain().collect()
+    }
+
     /// Returns all requests with the numbers of their latest attempts, in no order.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (RequestId, &PendingRequest)> {
         self.by_attempt.iter().map(|(id, pending)| (*id, pending))
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -85,6 +85,8 @@
     SeedsChanged(Vec<Seed>),
     /// This host is asked to finish its work and leave the fleet.
     Leave,
+    /// This leaving host stops in a moment, whether or not its work is finished.
+    LeaveTimedOut,
     /// All traffic parts of this leaving host have finished their work.
     TrafficDrained,
 }
--- a/crates/decide/src/owner/settings.rs
+++ b/crates/decide/src/owner/settings.rs
@@ -35,7 +35,7 @@
     /// How long an open transaction may be idle before it is rolled back.
     #[serde(with = "humantime_serde")]
     pub idle_in_transaction: Duration,
-    /// How long a leaving host waits for open transactions.
+    /// How long a leaving host waits for open transactions, of its callers and on its connections.
     #[serde(with = "humantime_serde")]
     pub leave_timeout: Duration,
     /// How long an upstream that has announced that it drains still gets new requests.
--- a/crates/decide/src/session.rs
+++ b/crates/decide/src/session.rs
@@ -2,7 +2,7 @@
 
 mod log_event;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use model::config::{ReadRule, Route};
 use model::{ConnId, Request, key::split_password};
@@ -14,6 +14,7 @@
 
 use crate::caller::Login;
 use crate::entry::budget::HedgeBudgetSettings;
+use crate::entry::pending::roll_back_pin;
 use crate::{Cx, Effect, View};
 
 pub use crate::session::log_event::SessionLogEvent;
@@ -246,6 +247,10 @@
     by_id: HashMap<SessionId, Session>,
     /// Whether the host is leaving, so that logins are refused.
     leaving: bool,
+    /// While leaving: when the transactions that are still open are rolled back.
+    transactions_end_at: Option<Instant>,
+    /// Whether that moment has come, so that no transaction may be open any more.
+    transactions_ended: bool,
 }
 
 impl Sessions {
@@ -308,18 +313,59 @@
     }
 
     /// Refuses logins from now on, and ends each session at its next transaction boundary.
+    ///
+    /// Transactions that are still open after `leave_timeout` of the owners' settings are rolled
+    /// back, whichever host holds their connections.
     pub fn on_leave(&mut self, cx: &mut Cx<'_>) {
         self.leaving = true;
+        self.transactions_end_at = Some(cx.now + cx.settings.owner.leave_timeout);
         for (id, session) in &mut self.by_id {
             session.ending_reason.get_or_insert(Refusal::NotReady);
             end_if_idle(cx, *id, session);
         }
     }
 
+    /// Returns when [`Self::on_tick`] is due, if at all.
+    pub fn wake_at(&self) -> Option<Instant> {
+        self.transactions_end_at
+    }
+
+    /// Rolls back the open transactions of a host that has been leaving for long enough.
+    pub fn on_tick(&mut self, cx: &mut Cx<'_>) {
+        if self
+            .transactions_end_at
+            .take_if(|at| *at <= cx.now)
+            .is_some()
+        {
+            self.end_transactions(cx);
+        }
+    }
+
+    /// Rolls back each open transaction, once its running statement has been answered.
+    ///
+    /// Callers learn of it by the answer to their next statement.
+    pub fn end_transactions(&mut self, cx: &mut Cx<'_>) {
+        self.transactions_ended = true;
+        for (id, session) in &mut self.by_id {
+            if session.running_request.is_none() {
+                roll_back_transaction(cx, session);
+                end_if_idle(cx, *id, session);
+            }
+        }
+    }
+
+    /// Returns whether the host has been leaving for so long that no transaction may be opened.
+    pub fn have_transactions_ended(&self) -> bool {
+        self.transactions_ended
+    }
+
     /// Clears a session's running request, and ends the session if it is marked to end.
     pub fn on_request_finished(&mut self, cx: &mut Cx<'_>, id: SessionId) {
         if let Some(session) = self.by_id.get_mut(&id) {
             session.running_request = None;
+            if self.transactions_ended {
+                roll_back_transaction(cx, session);
+            }
             end_if_idle(cx, id, session);
         }
     }
@@ -351,6 +397,13 @@
     matches!(refusal, Refusal::NotReady | Refusal::NoRoute)
 }
 
+/// Rolls back a session's open transaction, if it has one.
+fn roll_back_transaction(cx: &mut Cx<'_>, session: &mut Session) {
+    let pin = session.pin.take();
+    session.unreported_transaction_loss |= pin.is_some();
+    roll_back_pin(cx, pin);
+}
+
 /// Ends a session that is marked to end, unless a request runs or a transaction is open.
 ///
 /// After the withdrawal of a key, it does not wait for the end of the transaction.
--- a/crates/decide/src/traffic.rs
+++ b/crates/decide/src/traffic.rs
@@ -64,6 +64,7 @@
     /// Returns the moment at which the part needs an [`Event::Tick`], if any.
     pub fn wake_at(&self) -> Option<Instant> {
         [
+            self.sessions.wake_at(),
             self.entry.wake_at(),
             self.owners.wake_at(),
             self.commits.wake_at(),
@@ -104,6 +105,7 @@
             }
             Event::View(view) => self.on_view(cx, view),
             Event::Leave => self.start_leaving(cx),
+            Event::LeaveTimedOut => self.answer_all(cx),
             Event::Peer { .. }
             | Event::Undelivered { .. }
             | Event::Call { .. }
@@ -124,6 +126,7 @@
 
     fn on_tick(&mut self, cx: &mut Cx<'_>) {
         self.leave_notice_until.take_if(|until| *until <= cx.now);
+        self.sessions.on_tick(cx);
         self.entry.on_tick(cx, &self.view, &mut self.sessions);
         self.owners.on_tick(cx);
         self.owners.refresh_positions(cx, &self.view);
@@ -261,6 +264,12 @@
         self.owners.start_leaving(cx);
     }
 
+    /// Answers every caller, since the thread of this part ends soon.
+    fn answer_all(&mut self, cx: &mut Cx<'_>) {
+        self.sessions.end_transactions(cx);
+        self.entry.answer_all(cx, &mut self.sessions);
+    }
+
     /// Returns whether no session and no request is left, and none is to be expected.
     fn is_drained(&self) -> bool {
         self.leave_notice_until.is_none()
--- a/crates/decide/tests/route_session.rs
+++ b/crates/decide/tests/route_session.rs
@@ -10,10 +10,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use decide::relay::{Bounce, RelayMsg};
 use decide::{Effect, Event, Msg, Settings};
 use model::config::ReadRule;
-use model::{Kind, PartAddr, Refusal};
+use model::{Answer, Kind, PartAddr, Refusal, TxStatus, Verdict};
 use traffic_harness::{
     CONN, Harness, advance, answer_and_count, config, first_run, hedging_harness,
     take_addressed_msgs,
@@ -252,3 +253,109 @@
     owner.handle(Event::Tick);
     assert!(owner.effects.iter().any(ended), "it never ends");
 }
+
+/// Returns a harness whose session has an open transaction on a connection of the owner `h2`, on a
+/// host that has been leaving for as long as open transactions may take.
+fn leaving_harness_with_transaction() -> (Harness, Vec<(PartAddr, RelayMsg)>) {
+    let mut harness = Harness::new();
+    harness.login("pots", "");
+    harness.open_transaction();
+    harness.handle(Event::Leave);
+    let leave_timeout = Settings::default().owner.leave_timeout;
+    let before = advance(&mut harness, leave_timeout - Duration::from_millis(1));
+    assert!(before.is_empty(), "{before:?}");
+    harness.now = harness.state.wake_at().unwrap();
+    let sent = advance(&mut harness, Duration::ZERO);
+    (harness, sent)
+}
+
+fn continue_transaction(harness: &mut Harness) {
+    harness.request(|req| {
+        req.in_transaction = true;
+        req.continues_transaction = true;
+    });
+}
+
+fn answers(harness: &Harness) -> Vec<Verdict> {
+    let answers = harness.effects.iter().filter_map(|effect| match effect {
+        Effect::Answer { answer, .. } => Some(answer.verdict),
+        _ => None,
+    });
+    answers.collect()
+}
+
+fn releases_conn(sent: &[(PartAddr, RelayMsg)]) -> bool {
+    let unpin = |msg: &RelayMsg| matches!(msg, RelayMsg::Unpin { pin: CONN, .. });
+    sent.iter().any(|(_, msg)| unpin(msg))
+}
+
+/// Guards against statements that a stopping host cuts: it let transactions on connections of
+/// other hosts go on until its process ended.
+#[test]
+fn a_leaving_host_ends_transactions_on_connections_of_other_hosts_in_time() {
+    let (mut harness, sent) = leaving_harness_with_transaction();
+    assert!(releases_conn(&sent), "{sent:?}");
+    continue_transaction(&mut harness);
+    let lost = Verdict::NotRun(Refusal::TransactionLost);
+    assert_eq!(answers(&harness), [lost]);
+    assert!(harness.take_msgs().is_empty(), "the statement was sent on");
+}
+
+#[test]
+fn a_statement_under_way_when_a_leaving_host_ends_transactions_is_answered() {
+    let mut harness = Harness::new();
+    harness.login("pots", "");
+    harness.open_transaction();
+    harness.handle(Event::Leave);
+    let leave_timeout = Settings::default().owner.leave_timeout;
+    advance(&mut harness, leave_timeout - Duration::from_millis(100));
+    continue_transaction(&mut harness);
+    let (from, run) = first_run(&take_addressed_msgs(&mut harness));
+    let sent = advance(&mut harness, Duration::from_millis(200));
+    assert!(!releases_conn(&sent), "{sent:?}");
+    let answer = Answer {
+        verdict: Verdict::Ran,
+        payload: Bytes::new(),
+        tx_status: TxStatus::Open,
+        position: None,
+    };
+    let (id, pin) = (run.id, Some(CONN));
+    let msg = Msg::Relay(RelayMsg::Answer { id, answer, pin });
+    harness.handle(Event::Peer { from, msg });
+    assert_eq!(answers(&harness), [Verdict::Ran]);
+    assert!(releases_conn(&take_addressed_msgs(&mut harness)));
+}
+
+#[test]
+fn a_leaving_host_opens_no_transaction_once_it_has_ended_the_open_ones() {
+    let mut harness = Harness::new();
+    harness.login("pots", "");
+    harness.handle(Event::Leave);
+    advance(&mut harness, Settings::default().owner.leave_timeout);
+    harness.request(|req| req.in_transaction = true);
+    assert_eq!(answers(&harness), [Verdict::NotRun(Refusal::NotReady)]);
+}
+
+/// Guards against requests that are cut off without an answer when a host stops.
+#[test]
+fn a_host_whose_leave_has_timed_out_answers_every_request() {
+    let mut harness = hedging_harness(20.0);
+    harness.handle(Event::Leave);
+    harness.request(|req| req.kind = Kind::Write);
+    let (owner, run) = first_run(&take_addressed_msgs(&mut harness));
+    harness.handle(Event::LeaveTimedOut);
+    assert_eq!(answers(&harness), [Verdict::MayHaveRun]);
+    let cancelled = |(to, msg): &(PartAddr, RelayMsg)| {
+        *to == owner && matches!(msg, RelayMsg::Cancel { id } if *id == run.id)
+    };
+    assert!(take_addressed_msgs(&mut harness).iter().any(cancelled));
+
+    let mut harness = Harness::new();
+    harness.login("pots", "");
+    harness.view.services.clear();
+    harness.publish_view();
+    harness.request(|req| req.kind = Kind::Write);
+    assert!(harness.take_msgs().is_empty(), "no upstream can run it");
+    harness.handle(Event::LeaveTimedOut);
+    assert_eq!(answers(&harness), [Verdict::NotRun(Refusal::NotReady)]);
+}
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -41,6 +41,9 @@
 /// In this time it returns its claims (slots and connections) to the upstreams that granted them.
 const CONTROL_DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long before `leave_timeout` the requests that are still unanswered get their last answers.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(250);
+
 /// Starts a host in this process.
 #[derive(Debug)]
 pub struct Daemon;
@@ -67,11 +70,23 @@
     info: HostInfo,
 }
 
-/// A thread that runs one part; `ended` resolves when the part has ended.
+/// A thread that runs one part.
 #[derive(Debug)]
 struct PartThread {
     handle: Option<JoinHandle<()>>,
-    ended: oneshot::Receiver<()>,
+    /// Resolves when the part has ended; `None` once it has.
+    ended: Option<oneshot::Receiver<()>>,
+}
+
+impl PartThread {
+    /// Waits until the part has ended, or until `deadline`.
+    async fn wait_for_end(&mut self, deadline: tokio::time::Instant) {
+        if let Some(ended) = &mut self.ended
+            && tokio::time::timeout_at(deadline, ended).await.is_ok()
+        {
+            self.ended = None;
+        }
+    }
 }
 
 type Inbox = mpsc::UnboundedReceiver<Input>;
@@ -193,18 +208,25 @@
 
     /// Leaves the fleet and stops the host.
     ///
-    /// Running requests and open transactions are finished first, for up to `leave_timeout`. Then
+    /// Running requests and open transactions are finished first, for up to `leave_timeout`; what
+    /// isn't finished shortly before is answered without a result. Then
     /// the control part returns its claims to the upstreams, the listeners stop and the threads are
     /// joined. Threads that haven't ended in time aren't waited for: they end with the process.
     pub async fn stop(mut self) {
         self.shared_metrics.leaving.set(1);
         self.inboxes.send_event_to_all(&Event::Leave);
         let deadline = tokio::time::Instant::now() + self.cfg.leave_timeout;
+        let last_answers_at = deadline - LAST_ANSWERS_TIME.min(self.cfg.leave_timeout);
+        for thread in &mut self.traffic {
+            thread.wait_for_end(last_answers_at).await;
+        }
+        self.inboxes.send_event_to_all(&Event::LeaveTimedOut);
         for thread in &mut self.traffic {
-            let _ = tokio::time::timeout_at(deadline, &mut thread.ended).await;
+            thread.wait_for_end(deadline).await;
         }
         self.inboxes.send_event(CONTROL_PART, Event::TrafficDrained);
-        let _ = tokio::time::timeout(CONTROL_DRAIN_TIMEOUT, &mut self.control.ended).await;
+        let deadline = tokio::time::Instant::now() + CONTROL_DRAIN_TIMEOUT;
+        self.control.wait_for_end(deadline).await;
         let _ = self.rpc.stop();
         self.rpc.stopped().await;
         self.stop.send_replace(true);
@@ -364,6 +386,6 @@
     let handle = std::thread::Builder::new().name(name).spawn(run);
     Ok(PartThread {
         handle: Some(handle.wrap_err("the thread of a part can't be started")?),
-        ended,
+        ended: Some(ended),
     })
 }
