spread: accept the withdrawal of an upstream whose announcement has lapsed

A replica that is gone without a trace holds up the replacement of a primary, since it looks like one that is cut off. An operator can tell, but a withdrawal was ignored once the announcement had lapsed.

The successor of an ended instance is now also recognised when it was announced before it answered at the address, and addresses are looked up in the view only for instances that have lapsed or were replaced, not for all instances at each view.

Tests: spread_leases: an_upstream_that_has_lapsed_can_be_withdrawn; authority: an_instance_whose_address_another_one_has_taken_... starts the other one before the end of the first is known.

--- a/crates/decide/src/authority/confirmers.rs
+++ b/crates/decide/src/authority/confirmers.rs
@@ -1,14 +1,53 @@
 //! Which instances of a service may still confirm writes of the primary that is to be replaced.
 
 use std::collections::BTreeSet;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use model::UpstreamId;
 
+use crate::Cx;
+use crate::authority::AuthorityLogEvent;
 use crate::authority::instance::MonitoredInstance;
 use crate::authority::service::{FailoverStage, MonitoredService};
 
+/// How long a failover waits for the return of an ended replica that may have writes which no
+/// other instance has.
+const ENDED_REPLICA_WAIT: Duration = Duration::from_secs(20);
+
 impl MonitoredService {
+    /// Removes the instances whose processes have ended.
+    ///
+    /// An instance that is only silent stays: it may confirm writes of a primary that it reaches.
+    pub(crate) fn remove_ended_members(&mut self, cx: &mut Cx<'_>) {
+        let has_successor = |id: &UpstreamId, member: &MonitoredInstance| {
+            let mut others = self.members.iter().filter(|(other, _)| *other != id);
+            others.any(|(_, other)| other.has_taken_address_of(member))
+        };
+        let members = self.members.iter();
+        let ended = members.filter_map(|(id, member)| {
+            let evidence = member.end_evidence(cx.now, || has_successor(id, member))?;
+            Some((id.clone(), evidence))
+        });
+        let ended: Vec<_> = ended.collect();
+        for (id, evidence) in ended {
+            let primary = self.primary.as_ref().map(|(_, primary)| primary);
+            let was_primary = primary == Some(&id);
+            if let Some(member) = self.members.remove(&id)
+                && !was_primary
+            {
+                self.ended_replicas
+                    .insert(id.clone(), member.into_ended(cx.now));
+            }
+            cx.log(AuthorityLogEvent::InstanceEnded {
+                service: self.name.clone(),
+                upstream: id,
+                evidence,
+            });
+        }
+        self.ended_replicas
+            .retain(|_, ended| cx.now.saturating_duration_since(ended.since) < ENDED_REPLICA_WAIT);
+    }
+
     /// Returns the instances that must be fenced before a successor is chosen.
     ///
     /// These are all that may confirm writes: all but a primary that still leads or doesn't answer.
--- a/crates/decide/src/authority/instance.rs
+++ b/crates/decide/src/authority/instance.rs
@@ -153,6 +153,16 @@
         self.lapsed_since.get_or_insert(now);
     }
 
+    /// Returns whether it is announced at the address of another instance.
+    pub(crate) fn has_taken_address_of(&self, other: &Self) -> bool {
+        self.lapsed_since.is_none() && self.announcement.addr == other.announcement.addr
+    }
+
+    /// Returns whether what a view says of its address may be evidence of its end.
+    pub(crate) fn may_have_ended(&self) -> bool {
+        self.lapsed_since.is_some() || self.replaced.is_some()
+    }
+
     /// Records what a view says of its address.
     pub(crate) fn on_address_state(&mut self, state: AddressState, now: Instant) {
         self.withdrawn = state.withdrawn && self.lapsed_since.is_some();
@@ -252,14 +262,19 @@
     /// Returns the evidence that its process has ended, if there is any.
     ///
     /// Another instance that answers at its address may belong to the same service and confirm
-    /// writes too, so the announcement of that one is waited for.
-    pub(crate) fn end_evidence(&self, now: Instant) -> Option<EndEvidence> {
+    /// writes too, so the announcement of that one is waited for. `has_successor` tells whether a
+    /// member of the service has taken the address.
+    pub(crate) fn end_evidence(
+        &self,
+        now: Instant,
+        has_successor: impl FnOnce() -> bool,
+    ) -> Option<EndEvidence> {
         let lasts = |since: Option<Instant>, wait: Duration| {
             since.is_some_and(|since| now.saturating_duration_since(since) >= wait)
         };
         let replaced_since = self.replaced.as_ref().map(|ended| ended.since);
-        if replaced_since.is_some() && self.other_announced
-            || lasts(replaced_since, ANNOUNCEMENT_WAIT)
+        if replaced_since.is_some()
+            && (self.other_announced || has_successor() || lasts(replaced_since, ANNOUNCEMENT_WAIT))
         {
             return Some(EndEvidence::AddressReused);
         }
--- a/crates/decide/src/authority/service.rs
+++ b/crates/decide/src/authority/service.rs
@@ -24,9 +24,6 @@
 /// Pause before the next attempt to replace a draining primary that leads again because no replica
 /// had all its writes.
 const DRAINING_PRIMARY_PAUSE: Duration = Duration::from_secs(1);
-/// How long a failover waits for the return of an ended replica that may have writes which no
-/// other instance has.
-const ENDED_REPLICA_WAIT: Duration = Duration::from_secs(20);
 
 /// Progress of the attempt to replace the primary.
 #[derive(Debug)]
@@ -182,6 +179,9 @@
             if !view.upstreams.contains_key(id) {
                 member.on_lapsed(cx.now);
             }
+            if !member.may_have_ended() {
+                continue;
+            }
             let known = &member.announcement;
             let others = view.upstreams.values().map(|other| &other.announcement);
             let mut others =
@@ -197,35 +197,6 @@
         self.remove_ended_members(cx);
     }
 
-    /// Removes the instances whose processes have ended.
-    ///
-    /// An instance that is only silent stays: it may confirm writes of a primary that it reaches.
-    fn remove_ended_members(&mut self, cx: &mut Cx<'_>) {
-        let members = self.members.iter();
-        let ended =
-            members.filter_map(|(id, member)| Some((id.clone(), member.end_evidence(cx.now)?)));
-        let ended: Vec<_> = ended.collect();
-        for (id, evidence) in ended {
-            let was_primary = self
-                .primary
-                .as_ref()
-                .is_some_and(|(_, primary)| *primary == id);
-            if let Some(member) = self.members.remove(&id)
-                && !was_primary
-            {
-                self.ended_replicas
-                    .insert(id.clone(), member.into_ended(cx.now));
-            }
-            cx.log(AuthorityLogEvent::InstanceEnded {
-                service: self.name.clone(),
-                upstream: id,
-                evidence,
-            });
-        }
-        self.ended_replicas
-            .retain(|_, ended| cx.now.saturating_duration_since(ended.since) < ENDED_REPLICA_WAIT);
-    }
-
     pub(crate) fn primary_term(&self) -> Term {
         self.primary.as_ref().map_or(0, |(term, _)| *term)
     }
--- a/crates/decide/src/spread/announce.rs
+++ b/crates/decide/src/spread/announce.rs
@@ -34,11 +34,12 @@
         self.finish_event(cx);
     }
 
-    /// Withdraws an upstream that the platform reports as gone.
+    /// Withdraws an upstream that the platform reports as gone, lapsed or not.
     ///
     /// The sequence is raised so that the withdrawal outranks all earlier announcements.
     pub fn withdraw(&mut self, cx: &mut Cx<'_>, upstream: &UpstreamId) {
-        if let Some((known, true)) = self.upstream_fact(upstream) {
+        let known = self.upstream_fact(upstream).map(|(known, _)| known);
+        if let Some(known) = known.filter(|known| !known.leaving) {
             let mut last = known.clone();
             last.sequence = last.sequence.saturating_add(WITHDRAWAL_SEQUENCE_OFFSET);
             last.leaving = true;
--- a/crates/decide/src/spread/merge.rs
+++ b/crates/decide/src/spread/merge.rs
@@ -115,6 +115,8 @@
             Fact::Host { info, alive, .. } => self.apply_host_fact(cx, info, *alive, fact, old),
             Fact::Upstream { announcement, live } => {
                 self.log_upstream_change(cx, announcement, *live, old);
+                // A withdrawal counts for one that has left the tables already, too.
+                self.view_changed |= announcement.leaving;
                 self.update_upstream_row(announcement, *live);
             }
             Fact::Primary {
--- a/crates/decide/tests/authority.rs
+++ b/crates/decide/tests/authority.rs
@@ -641,9 +641,9 @@
 fn an_instance_whose_address_another_one_has_taken_is_not_waited_for() {
     let mut world = World::new();
     let primary = world.replace_unseen_primary();
-    world.instances.get_mut("a").unwrap().query_error = Some(QueryError::OtherUpstream);
     world.instances.insert("a2", instance(Role::Replica));
     world.announce(&["b", "c", "a2"]);
+    world.instances.get_mut("a").unwrap().query_error = Some(QueryError::OtherUpstream);
     world.run(Duration::from_secs(1));
     world.change(&primary, Instance::cut_off);
     world.run(Duration::from_secs(3));
--- a/crates/decide/tests/spread_leases.rs
+++ b/crates/decide/tests/spread_leases.rs
@@ -74,6 +74,25 @@
     assert!(net.all_have_upstream(&all, "u", false));
 }
 
+/// Guards against an instance that is gone without a trace and that an operator can't sign off.
+#[test]
+fn an_upstream_that_has_lapsed_can_be_withdrawn() {
+    let mut net = converged_fleet(13, 4);
+    let all = net.hosts();
+    net.announced_upstreams.clear();
+    net.run(LEASE_AND_SPREAD);
+    assert!(net.all_have_upstream(&all, "u", false));
+    let upstream = "u".into();
+    let withdrawn = |net: &Net| {
+        let mut hosts = all.iter();
+        hosts.all(|host| net.nodes[host].spread.has_withdrawn(&upstream))
+    };
+    assert!(!withdrawn(&net), "a lapse was taken for a withdrawal");
+    net.withdraw_at(&all[0], &upstream);
+    net.run(SECOND);
+    assert!(withdrawn(&net));
+}
+
 #[test]
 fn old_announcements_neither_renew_nor_revive() {
     let mut net = converged_fleet(13, 5);
--- a/crates/decide/tests/spread_net/fleet.rs
+++ b/crates/decide/tests/spread_net/fleet.rs
@@ -43,6 +43,11 @@
         self.with_spread(host, |spread, cx| spread.announce(cx, announcement));
     }
 
+    /// Gives a host the platform's report that an upstream is gone.
+    pub(crate) fn withdraw_at(&mut self, host: &HostId, upstream: &UpstreamId) {
+        self.with_spread(host, |spread, cx| spread.withdraw(cx, upstream));
+    }
+
     /// Publishes a fact that a host has learned.
     pub(crate) fn publish_fact(&mut self, host: &HostId, fact: Fact) {
         self.with_spread(host, |spread, cx| spread.publish_fact(cx, fact));
