--- a/crates/decide/src/authority/confirmers.rs
+++ b/crates/decide/src/authority/confirmers.rs
@@ -52,7 +52,7 @@
     ///
     /// These are all that may confirm writes: all but a primary that still leads or doesn't answer.
     /// Where the primary answers, it is demoted and then fenced itself. Nothing is confirmed after
-    /// that, so that silent instances aren't needed, unless one may lead by an order to it.
+    /// that, so silent instances aren't needed, except one that this leader has ordered to lead.
     pub(crate) fn replicas_to_fence(&self) -> BTreeSet<UpstreamId> {
         let primary = self.primary.as_ref().map(|(_, id)| id);
         let demotable = self.primary_is_active() && !self.keeps_primary();
--- a/crates/decide/src/authority/instance.rs
+++ b/crates/decide/src/authority/instance.rs
@@ -77,12 +77,12 @@
     withdrawn: bool,
 }
 
-/// What a view says of an instance that is not announced any more, or of its address.
+/// What the hosts know of an instance that isn't announced any more, and of its address.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AddressState {
     /// Whether another instance is announced at the address.
     pub(crate) other_announced: bool,
-    /// Whether that one has started later than this one did.
+    /// Whether that other instance has started later.
     pub(crate) other_is_newer: bool,
     /// Whether the instance has withdrawn its announcement.
     pub(crate) withdrawn: bool,
@@ -158,12 +158,12 @@
         self.lapsed_since.is_none() && self.announcement.addr == other.announcement.addr
     }
 
-    /// Returns whether what a view says of its address may be evidence of its end.
+    /// Returns whether a view may hold evidence of its end.
     pub(crate) fn may_have_ended(&self) -> bool {
         self.lapsed_since.is_some() || self.replaced.is_some()
     }
 
-    /// Records what a view says of its address.
+    /// Records what is known of its address and of its withdrawal.
     pub(crate) fn on_address_state(&mut self, state: AddressState, now: Instant) {
         self.withdrawn = state.withdrawn && self.lapsed_since.is_some();
         self.other_announced = state.other_announced;
@@ -247,14 +247,14 @@
         self.refused_since = None;
     }
 
-    /// Records the status of the primary, by the query for which no replica was fenced.
+    /// Records the primary's log position, asked for while no replica was fenced.
     pub(crate) fn on_primary_position(&mut self, position: Position, asked_at: Instant) {
         if let Some(ended) = &mut self.replaced {
             ended.on_primary_position(position, asked_at);
         }
     }
 
-    /// Returns its end, as far as known, when it leaves the account.
+    /// Returns its end, found out now unless another instance has taken its address before.
     pub(crate) fn into_ended(self, now: Instant) -> EndedInstance {
         self.replaced.unwrap_or(EndedInstance::new(now))
     }
