--- a/crates/decide/tests/authority.rs
+++ b/crates/decide/tests/authority.rs
@@ -755,3 +755,20 @@
     let instances = world.instances.values();
     assert_eq!(instances.filter(|i| i.unfence_delayed).count(), 0);
 }
+
+/// Guards against a service that gets no primary any more: the answer of another instance at a
+/// replica's address counted as a sign of life, so that the ended replica had to be fenced too.
+#[test]
+fn a_replica_whose_address_is_taken_at_once_does_not_hold_up_later_replacements() {
+    let mut world = World::new();
+    world.run(Duration::from_secs(4));
+    world.instances.get_mut("c").unwrap().query_error = Some(QueryError::OtherUpstream);
+    world.instances.insert("c2", instance(Role::Replica));
+    world.announce(&["a", "b", "c", "c2"]);
+    world.run(Duration::from_secs(4));
+    world.announce(&["a", "b", "c2"]);
+    world.run(Duration::from_secs(1));
+    world.instances.get_mut("a").unwrap().cut_off();
+    world.run(Duration::from_secs(3));
+    assert_eq!(world.orders.len(), 1, "{:?}", world.orders);
+}
