--- a/crates/decide/src/authority/confirmers.rs
+++ b/crates/decide/src/authority/confirmers.rs
@@ -58,7 +58,7 @@
         let demotable = self.primary_is_active() && !self.keeps_primary();
         let primary_answers = demotable || self.primary_is_demoted();
         let replicas = self.members.iter().filter(|(id, member)| {
-            let may_lead = self.ordered.contains(*id);
+            let may_lead = self.ordered_to_lead.contains(*id);
             let needed = !member.is_silent() || !primary_answers || may_lead;
             needed && (Some(*id) != primary || member.is_replica())
         });
--- a/crates/decide/src/authority/failover.rs
+++ b/crates/decide/src/authority/failover.rs
@@ -218,7 +218,7 @@
         {
             return self.end_attempt_without_order(cx, outbox, "restarted");
         }
-        self.ordered.insert(chosen.clone());
+        self.ordered_to_lead.insert(chosen.clone());
         cx.log(AuthorityLogEvent::PromotionOrdered {
             service: self.name.clone(),
             upstream: chosen.clone(),
--- a/crates/decide/src/authority/service.rs
+++ b/crates/decide/src/authority/service.rs
@@ -94,7 +94,7 @@
     /// Whether this leader has demoted the known primary since that last reported to lead.
     pub(crate) has_demoted_primary: bool,
     /// The instances that were ordered to lead since a primary was last confirmed.
-    pub(crate) ordered: BTreeSet<UpstreamId>,
+    pub(crate) ordered_to_lead: BTreeSet<UpstreamId>,
     /// The instance that keeps the primary from being replaced, if that has been logged.
     pub(crate) held_up_by: Option<UpstreamId>,
 }
@@ -119,7 +119,7 @@
             fence_term: 0,
             attempt_number: 0,
             has_demoted_primary: false,
-            ordered: BTreeSet::new(),
+            ordered_to_lead: BTreeSet::new(),
             held_up_by: None,
         }
     }
@@ -134,7 +134,7 @@
         self.earlier_orders_void = false;
         self.fenced_by_this_leader = false;
         self.has_demoted_primary = false;
-        self.ordered.clear();
+        self.ordered_to_lead.clear();
         self.held_up_by = None;
         for member in self.members.values_mut() {
             member.reset(now);
@@ -287,13 +287,13 @@
             };
             self.settle_doubt();
             self.earlier_orders_void = true;
-            self.ordered.clear();
+            self.ordered_to_lead.clear();
             for member in self.members.values_mut() {
                 member.on_promotion(cx.now);
             }
         }
         if !is_known_primary {
-            self.ordered.clear();
+            self.ordered_to_lead.clear();
             let term = reply.status.term;
             self.primary = Some((term, id.clone()));
             cx.log(AuthorityLogEvent::PrimaryConfirmed {
