--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -7,6 +7,7 @@
 
 pub mod budget;
 mod hedge;
+mod last_answers;
 pub(crate) mod owner_check;
 pub(crate) mod pending;
 pub(crate) mod pick;
@@ -417,24 +418,6 @@
         }
     }
 
-    /// Answers every request, since the host stops: what was sent to an owner may have run, and the
-    /// rest has not.
-    pub fn answer_all(&mut self, cx: &mut Cx<'_>, sessions: &mut Sessions) {
-        for (id, pending) in self.requests.drain() {
-            if let Some(target) = &pending.target {
-                cx.send(target.owner.clone(), RelayMsg::Cancel { id });
-            }
-            if pending.answered {
-                continue;
-            }
-            let verdict = match pending.target {
-                Some(_) => Verdict::MayHaveRun,
-                None => Verdict::NotRun(Refusal::NotReady),
-            };
-            answer_without_result(cx, sessions, pending, verdict);
-        }
-    }
-
     /// Tells owners to cancel the requests of a caller that has disconnected.
     ///
     /// A request stays pending until its answer, which may open a transaction to roll back.
