--- a/crates/decide/src/owner/log_event.rs
+++ b/crates/decide/src/owner/log_event.rs
@@ -106,7 +106,7 @@
     pub from: HostId,
     /// The sender's id of the request.
     pub request: RequestId,
-    /// The caller's own id of the request.
+    /// The caller's own id of the request, as a log field.
     pub label: Arc<str>,
 }
 
--- a/crates/decide/src/session/log_event.rs
+++ b/crates/decide/src/session/log_event.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::{HostId, Refusal, RequestId, ServiceId, SessionId, UpstreamId, Verdict, WorkspaceId};
+use model::{
+    HostId, LogField, Refusal, RequestId, ServiceId, SessionId, UpstreamId, Verdict, WorkspaceId,
+};
 
 use crate::log_event::NumberedEvent;
 
@@ -17,7 +19,7 @@
         session: SessionId,
         /// The request's number in the session.
         request: RequestId,
-        /// The caller's own id of the request; `-` if it gave none.
+        /// The caller's own id of the request, as a log field.
         label: Arc<str>,
         /// The upstream that should run the request.
         upstream: UpstreamId,
@@ -32,7 +34,7 @@
         session: SessionId,
         /// The request's number in the session.
         request: RequestId,
-        /// The caller's own id of the request; `-` if it gave none.
+        /// The caller's own id of the request, as a log field.
         label: Arc<str>,
         /// Why the request could not run.
         refusal: Refusal,
@@ -43,7 +45,7 @@
         session: SessionId,
         /// The request's number in the session.
         request: RequestId,
-        /// The caller's own id of the request; `-` if it gave none.
+        /// The caller's own id of the request, as a log field.
         label: Arc<str>,
         /// The upstream that has not answered.
         upstream: UpstreamId,
@@ -70,7 +72,7 @@
         session: SessionId,
         /// The request's number in the session.
         request: RequestId,
-        /// The caller's own id of the request; `-` if it gave none.
+        /// The caller's own id of the request, as a log field.
         label: Arc<str>,
         /// The workspace whose rate the request counts against.
         workspace: WorkspaceId,
@@ -181,7 +183,8 @@
                 service,
                 refusal,
             } => {
-                let workspace = workspace.as_deref().unwrap_or("-");
+                let workspace = LogField::text(workspace.as_deref().unwrap_or("-"));
+                let service = LogField::text(service);
                 write!(
                     f,
                     "login session={session} workspace={workspace} service={service}"
--- a/crates/host/src/logs.rs
+++ b/crates/host/src/logs.rs
@@ -17,6 +17,8 @@
 
 /// Maximum number of lines that wait to be written; further ones are dropped and counted.
 const MAX_QUEUED_LINES: usize = 8192;
+/// Maximum number of bytes of a line; the rest is cut off.
+const MAX_LINE_BYTES: usize = 4096;
 /// Maximum number of lines of one event number that a thread logs in a second.
 ///
 /// Further ones are left out and counted.
@@ -84,12 +86,35 @@
 
 /// Queues a line for the log thread, or drops it if the queue is full; never blocks.
 fn queue_line(tx: &mpsc::SyncSender<String>, record: &log::Record<'_>) {
-    let line = format!("{}\n", record.args());
+    let mut line = single_line(record.args().to_string());
+    line.push('\n');
     if tx.try_send(line).is_err() {
         DROPPED.fetch_add(1, Ordering::Relaxed);
     }
 }
 
+/// Escapes what would end a line early, and cuts a text that is too long.
+///
+/// Errors may quote texts from outside of the host.
+fn single_line(mut text: String) -> String {
+    let ends_line = |c: char| c.is_control() || matches!(c, '\u{2028}' | '\u{2029}');
+    if text.len() > MAX_LINE_BYTES {
+        text.truncate(text.floor_char_boundary(MAX_LINE_BYTES));
+        text.push_str("...");
+    }
+    if !text.contains(ends_line) {
+        return text;
+    }
+    let mut escaped = String::with_capacity(text.len() + 16);
+    for c in text.chars() {
+        match ends_line(c) {
+            true => escaped.extend(c.escape_default()),
+            false => escaped.push(c),
+        }
+    }
+    escaped
+}
+
 /// How many lines of one event number a thread has written and left out within a second.
 struct RateWindow {
     since: Instant,
@@ -124,6 +149,16 @@
     })
 }
 
+/// Returns whether a line of this event may be written now, for events that outsiders can cause at
+/// any rate; reports the lines that were left out.
+pub fn may_write(number: u16) -> bool {
+    let (admitted, left_out) = admit_line(number);
+    if left_out > 0 {
+        log::info!("event=707 lines-left-out number={number} count={left_out}");
+    }
+    admitted
+}
+
 /// Writes lines until an empty one comes, and flushes whenever the queue is empty.
 fn write_lines<W: Write>(rx: &mpsc::Receiver<String>, to: W) {
     let mut to = BufWriter::new(to);
@@ -156,11 +191,7 @@
         log::warn!("event=706 lines-dropped count={count}");
     }
     let number = event.number();
-    let (admitted, left_out) = admit_line(number);
-    if left_out > 0 {
-        log::info!("event=707 lines-left-out number={number} count={left_out}");
-    }
-    if admitted {
+    if may_write(number) {
         log::log!(target: "carawaycourse", level, "event={number} {event}");
     }
 }
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -58,7 +58,7 @@
 /// A request for an upstream, with its statement as an opaque payload.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
-    /// The caller's own id of the request, written to the log; `-` if the caller gave none.
+    /// The caller's own id of the request as a [`crate::LogField`]; `-` if the caller gave none.
     pub label: std::sync::Arc<str>,
     /// The workspace whose rate the request counts against.
     pub workspace: WorkspaceId,
