--- a/crates/decide/src/caller.rs
+++ b/crates/decide/src/caller.rs
@@ -1,7 +1,6 @@
 //! Events of callers' connections, without any wire format.
 
-use std::sync::Arc;
-
+use bytes::Bytes;
 use model::{Position, Request, RequestId, RouteId, ServiceId, SessionId, WorkspaceId};
 
 /// A login, request or end of a caller's connection.
@@ -41,7 +40,7 @@
     /// The route that it wants to use, if any.
     pub route: Option<RouteId>,
     /// The key as `keyid.secret`, or the secret alone on a route.
-    pub password: Arc<str>,
+    pub password: Bytes,
     /// Log position that the session's reads must see at least, taken over from an earlier session;
     /// `None` if the session starts afresh.
     pub floor: Option<Position>,
--- a/crates/decide/src/session.rs
+++ b/crates/decide/src/session.rs
@@ -161,7 +161,7 @@
 fn authorize_on_route(
     view: &View,
     route: &RouteId,
-    secret: &str,
+    secret: &[u8],
 ) -> Result<(WorkspaceId, Option<KeyId>), Refusal> {
     let route = view.config.routes.get(route).ok_or(Refusal::NoRoute)?;
     let key = KeyDigest::of(secret).id();
@@ -196,7 +196,8 @@
             .ok_or(Refusal::BadKey);
     };
     let workspace = view.config.workspaces.get(name).ok_or(Refusal::BadKey)?;
-    let (key, secret) = split_password(&login.password).ok_or(Refusal::BadKey)?;
+    let password = std::str::from_utf8(&login.password).map_err(|_| Refusal::BadKey)?;
+    let (key, secret) = split_password(password).ok_or(Refusal::BadKey)?;
     let (key, digest) = workspace.keys.get_key_value(key).ok_or(Refusal::BadKey)?;
     if !digest.matches(secret) {
         return Err(Refusal::BadKey);
--- a/crates/decide/tests/traffic_harness/mod.rs
+++ b/crates/decide/tests/traffic_harness/mod.rs
@@ -140,7 +140,7 @@
             workspace: None,
             service: "".into(),
             route: Some(route.into()),
-            password: key.into(),
+            password: Bytes::copy_from_slice(key.as_bytes()),
             floor: None,
         };
         let session = SESSION;
--- a/crates/model/src/key.rs
+++ b/crates/model/src/key.rs
@@ -15,8 +15,8 @@
 
 impl KeyDigest {
     /// Computes the digest of a secret.
-    pub fn of(secret: &str) -> Self {
-        let digest = Sha256::digest(secret.as_bytes());
+    pub fn of(secret: impl AsRef<[u8]>) -> Self {
+        let digest = Sha256::digest(secret);
         let text: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
         Self(text.into())
     }
