authority: log the account of the instances at the choice of a successor

361 gives, once in each attempt, each member with its state, role and position, the replicas that have ended, and the order in doubt. 362 names an instance that joins or restarts while the primary is silent or being replaced.

--- a/crates/decide/src/authority.rs
+++ b/crates/decide/src/authority.rs
@@ -10,6 +10,7 @@
 //!
 //! The platform runs the database instances and carries out the orders.
 
+pub(crate) mod account;
 pub(crate) mod confirmers;
 pub(crate) mod failover;
 pub(crate) mod failure_detection;
@@ -23,6 +24,7 @@
 use model::{HashMap, ServiceId, UpstreamId};
 use serde::{Deserialize, Serialize};
 
+pub use crate::authority::account::{Account, AccountedInstance};
 pub use crate::authority::instance::EndEvidence;
 pub use crate::authority::log_event::AuthorityLogEvent;
 use crate::authority::service::MonitoredService;
--- a/crates/decide/src/authority/failover.rs
+++ b/crates/decide/src/authority/failover.rs
@@ -113,6 +113,7 @@
     /// Does nothing while an ended replica, or one whose fence may end, may have writes that the best
     /// fenced one lacks.
     pub(crate) fn choose_successor(&mut self, cx: &mut Cx<'_>, outbox: &mut Outbox) {
+        self.log_account(cx);
         let FailoverStage::Fencing {
             fenced,
             keep_primary,
--- a/crates/decide/src/authority/log_event.rs
+++ b/crates/decide/src/authority/log_event.rs
@@ -6,6 +6,7 @@
 use model::{Position, ServiceId, Term, UpstreamId};
 
 use crate::authority::PromotionError;
+use crate::authority::account::Account;
 use crate::authority::instance::EndEvidence;
 use crate::log_event::NumberedEvent;
 use crate::raft::LogIndex;
@@ -110,6 +111,22 @@
         /// How that is known.
         evidence: EndEvidence,
     },
+    /// What is known of the instances when a successor is to be chosen.
+    ReplacementAccount {
+        /// Service whose primary is to be replaced.
+        service: ServiceId,
+        /// The instances, and the orders in doubt.
+        account: Account,
+    },
+    /// An instance has joined or restarted while the primary is being replaced.
+    MemberChanged {
+        /// Service of the instance.
+        service: ServiceId,
+        /// Instance that has joined or restarted.
+        upstream: UpstreamId,
+        /// What has happened.
+        change: &'static str,
+    },
 }
 
 impl NumberedEvent for AuthorityLogEvent {
@@ -126,6 +143,8 @@
             Self::ReplacementHeldUp { .. } => 358,
             Self::InstanceEnded { .. } => 359,
             Self::UnfenceUnanswered { .. } => 360,
+            Self::ReplacementAccount { .. } => 361,
+            Self::MemberChanged { .. } => 362,
         }
     }
 
@@ -237,6 +256,21 @@
                 "instance-ended service={service} upstream={upstream} evidence={}",
                 evidence.name()
             ),
+            Self::ReplacementAccount { service, account } => write!(
+                f,
+                "replacement-account service={service} members={} ended={} in_doubt={}",
+                account.members_for_log(),
+                account.ended_for_log(),
+                account.in_doubt_for_log(),
+            ),
+            Self::MemberChanged {
+                service,
+                upstream,
+                change,
+            } => write!(
+                f,
+                "member-changed service={service} upstream={upstream} change={change}"
+            ),
         }
     }
 }
--- a/crates/decide/src/authority/service.rs
+++ b/crates/decide/src/authority/service.rs
@@ -97,6 +97,8 @@
     pub(crate) ordered_to_lead: BTreeSet<UpstreamId>,
     /// The instance that keeps the primary from being replaced, if that has been logged.
     pub(crate) held_up_by: Option<UpstreamId>,
+    /// Number of the attempt whose account of the instances was logged last.
+    pub(crate) accounted_attempt: u64,
 }
 
 impl MonitoredService {
@@ -121,6 +123,7 @@
             has_demoted_primary: false,
             ordered_to_lead: BTreeSet::new(),
             held_up_by: None,
+            accounted_attempt: 0,
         }
     }
 
@@ -156,6 +159,14 @@
             };
             let announcement = &upstream_view.announcement;
             self.ended_replicas.remove(id);
+            let known = self
+                .members
+                .get(id)
+                .map(|known| known.announcement.incarnation);
+            if known != Some(announcement.incarnation) {
+                let change = known.map_or("joined", |_| "restarted");
+                self.log_change_of_members(cx, id, change);
+            }
             let new = || MonitoredInstance::new(announcement.clone(), now);
             let member = self.members.entry(id.clone()).or_insert_with(new);
             member.on_announced(announcement, now);
