authority: stop the acknowledgements of a primary before its successor is chosen

Cause: the choice of a successor relies on the fences of the instances that the leader knows. A primary that it can't demote goes on, and commits are confirmed by any replica that receives: one whose announcement has not come or never comes, a fenced one that restarts between the choice and the promotion, or one behind a cut that a new leader has never heard of. After a crash, the one replica that has a commit may be unknown as well.

Change: each acknowledgement passes through an owner of a connection. With the fences, the leader asks the traffic parts of all entry hosts to pass on no acknowledgement of the old term; they answer with the highest position that they have passed on. A stopped commit is answered as one that may have run. The fences are needed as before, so a host that doesn't answer within 400 ms makes nothing worse than it was. The stop lasts while an order is in doubt, and 20 s longer than a leader that is lost.

--- a/crates/decide/src/authority.rs
+++ b/crates/decide/src/authority.rs
@@ -11,6 +11,7 @@
 //! The platform runs the database instances and carries out the orders.
 
 pub(crate) mod account;
+pub(crate) mod ack_stop;
 pub(crate) mod confirmers;
 pub(crate) mod failover;
 pub(crate) mod failure_detection;
@@ -21,13 +22,14 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use model::{HashMap, ServiceId, UpstreamId};
+use model::{HashMap, PartAddr, ServiceId, UpstreamId};
 use serde::{Deserialize, Serialize};
 
 pub use crate::authority::account::{Account, AccountedInstance};
 pub use crate::authority::instance::EndEvidence;
 pub use crate::authority::log_event::AuthorityLogEvent;
 use crate::authority::service::MonitoredService;
+use crate::owner::ack_gate::AckStopMsg;
 use crate::raft::{LogIndex, PromotionTicket};
 use crate::upstream_query::{QueryError, QueryId, QueryReply, UpstreamQuery};
 use crate::{Cx, Effect, View};
@@ -168,10 +170,12 @@
         for (name, service_view) in &view.services {
             let service = self.services.entry(name.clone());
             let service = service.or_insert_with(|| MonitoredService::new(name.clone(), cx.now));
+            service.ack_stops.sync(view, cx.now);
             service.sync(cx, view, service_view, &has_withdrawn);
         }
         for (name, service) in &mut self.services {
             if !view.services.contains_key(name) {
+                service.ack_stops.sync(view, cx.now);
                 service.sync_unannounced(cx, view, &has_withdrawn);
             }
         }
@@ -230,6 +234,20 @@
         self.step(cx);
     }
 
+    /// Handles the answer of a traffic part that was asked to stop or to pass on acknowledgements.
+    pub fn on_ack_stop_msg(&mut self, cx: &mut Cx<'_>, from: &PartAddr, msg: &AckStopMsg) {
+        let (AckStopMsg::Stopped { service, .. } | AckStopMsg::Allowed { service, .. }) = msg
+        else {
+            return;
+        };
+        if let Some(service) = self.services.get_mut(service)
+            && self.is_leader
+        {
+            service.ack_stops.on_msg(cx, from, msg);
+        }
+        self.step(cx);
+    }
+
     /// Sends due probes and advances the attempts of all services.
     pub fn on_tick(&mut self, cx: &mut Cx<'_>) {
         self.step(cx);
--- /dev/null
+++ b/crates/decide/src/authority/ack_stop.rs
@@ -0,0 +1,260 @@
+//! Stops the acknowledgements of a primary that can't be demoted while it is replaced.
+//!
+//! A replica that the leader has never heard of, or one that restarts, may receive from such a
+//! primary and so confirm commits. Each acknowledgement passes through an owner of a connection,
+//! so once the owners have stopped, the successor is safe if it has the highest position that they
+//! have passed on.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use model::{FIRST_TRAFFIC_PART, Incarnation, PartAddr, Position, Role, ServiceId, Term};
+
+use crate::authority::AuthorityLogEvent;
+use crate::authority::service::{FailoverStage, MonitoredService};
+use crate::owner::ack_gate::{AckStopMsg, STOP_TIME};
+use crate::{Cx, View};
+
+/// How long an attempt waits for parts that don't answer.
+const ANSWER_WAIT: Duration = Duration::from_millis(400);
+/// Interval at which a request without an answer is sent again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which a stop that is in force is renewed.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(5);
+
+/// A traffic part, as far as its acknowledgements go.
+#[derive(Debug)]
+struct StoppedPart {
+    incarnation: Incarnation,
+    /// Whether it has answered the last request.
+    has_answered: bool,
+    /// When it was last asked to stop.
+    stop_asked_at: Option<Instant>,
+    next_request_at: Instant,
+}
+
+/// What the parts were asked for last.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+enum AckPhase {
+    /// Nothing, or what was asked for has lapsed.
+    #[default]
+    Passing,
+    /// To stop acknowledgements of this term and of earlier ones.
+    Stopping { term: Term, since: Instant },
+    /// To pass on acknowledgements again.
+    Allowing,
+}
+
+/// The traffic parts that may hold connections to the instances of a service.
+#[derive(Debug, Default)]
+pub(crate) struct AckStops {
+    parts: BTreeMap<PartAddr, StoppedPart>,
+    phase: AckPhase,
+    /// Number of the last request to stop.
+    round: u64,
+    /// The attempt that the last request to stop belongs to.
+    attempt: u64,
+    /// Whether the outcome of the last request to stop was logged.
+    is_logged: bool,
+    /// The highest log position that parts have reported to have passed on.
+    passed_on: Position,
+}
+
+impl AckStops {
+    /// Updates the parts from a new view; a part of a host that has restarted must answer again.
+    pub(crate) fn sync(&mut self, view: &View, now: Instant) {
+        let hosts = view.hosts.values().filter(|info| info.is_entry_host);
+        let parts = hosts.flat_map(|info| {
+            let parts = FIRST_TRAFFIC_PART..FIRST_TRAFFIC_PART + info.traffic_parts;
+            parts.map(|part| {
+                let host = info.host.clone();
+                (PartAddr { host, part }, info.incarnation)
+            })
+        });
+        let current: BTreeMap<PartAddr, Incarnation> = parts.collect();
+        self.parts
+            .retain(|part, known| current.get(part) == Some(&known.incarnation));
+        for (part, incarnation) in current {
+            let new = || StoppedPart {
+                incarnation,
+                has_answered: false,
+                stop_asked_at: None,
+                next_request_at: now,
+            };
+            self.parts.entry(part).or_insert_with(new);
+        }
+    }
+
+    /// Forgets what was asked for, after a change of leader.
+    pub(crate) fn reset(&mut self) {
+        self.phase = AckPhase::Passing;
+        self.passed_on = Position::default();
+    }
+
+    fn start_phase(&mut self, phase: AckPhase, now: Instant) {
+        self.phase = phase;
+        self.is_logged = false;
+        for part in self.parts.values_mut() {
+            part.has_answered = false;
+            part.next_request_at = now;
+        }
+    }
+
+    /// Returns whether each part has answered, or has been waited for long enough.
+    pub(crate) fn is_settled(&self, now: Instant) -> bool {
+        match self.phase {
+            AckPhase::Stopping { since, .. } => {
+                self.silent_parts() == 0 || now >= since + ANSWER_WAIT
+            }
+            AckPhase::Passing | AckPhase::Allowing => true,
+        }
+    }
+
+    fn silent_parts(&self) -> usize {
+        let parts = self.parts.values();
+        parts.filter(|part| !part.has_answered).count()
+    }
+
+    /// Returns the highest log position that parts have reported to have passed on.
+    pub(crate) fn passed_on(&self) -> Position {
+        self.passed_on
+    }
+
+    fn send_due(&mut self, cx: &mut Cx<'_>, service: &ServiceId) {
+        let now = cx.now;
+        for (addr, part) in &mut self.parts {
+            if now < part.next_request_at {
+                continue;
+            }
+            let (service, round) = (service.clone(), self.round);
+            let msg = match self.phase {
+                AckPhase::Passing => continue,
+                AckPhase::Stopping { term, .. } => {
+                    part.stop_asked_at = Some(now);
+                    AckStopMsg::Stop {
+                        service,
+                        term,
+                        round,
+                    }
+                }
+                AckPhase::Allowing => {
+                    let lasts = |at: Instant| now < at + STOP_TIME;
+                    if part.has_answered || !part.stop_asked_at.is_some_and(lasts) {
+                        part.has_answered = true;
+                        part.next_request_at = now + STOP_TIME;
+                        continue;
+                    }
+                    AckStopMsg::Allow { service, round }
+                }
+            };
+            part.next_request_at = now
+                + if part.has_answered {
+                    RENEWAL_INTERVAL
+                } else {
+                    RETRY_INTERVAL
+                };
+            cx.send(addr.clone(), msg);
+        }
+        if self.phase == AckPhase::Allowing && self.silent_parts() == 0 {
+            self.phase = AckPhase::Passing;
+        }
+    }
+
+    /// Handles the answer of a part.
+    pub(crate) fn on_msg(&mut self, cx: &Cx<'_>, from: &PartAddr, msg: &AckStopMsg) {
+        let Some(part) = self.parts.get_mut(from) else {
+            return;
+        };
+        match (msg, self.phase) {
+            (
+                AckStopMsg::Stopped {
+                    round,
+                    incarnation,
+                    passed_on,
+                    ..
+                },
+                AckPhase::Stopping { .. },
+            ) if *round == self.round && *incarnation == part.incarnation => {
+                part.has_answered = true;
+                part.next_request_at = cx.now + RENEWAL_INTERVAL;
+                self.passed_on = self.passed_on.max(*passed_on);
+            }
+            (AckStopMsg::Allowed { round, .. }, AckPhase::Allowing) if *round == self.round => {
+                part.has_answered = true;
+                part.stop_asked_at = None;
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns when the next request is due.
+    pub(crate) fn wake_at(&self) -> Option<Instant> {
+        let is_asking = self.phase != AckPhase::Passing;
+        let parts = self.parts.values().filter(|_| is_asking);
+        parts.map(|part| part.next_request_at).min()
+    }
+}
+
+impl MonitoredService {
+    /// Stops acknowledgements while the primary is replaced without being demoted, or an order is in
+    /// doubt, and lets them pass again after that.
+    pub(crate) fn advance_ack_stops(&mut self, cx: &mut Cx<'_>) {
+        let is_fencing = matches!(self.stage, FailoverStage::Fencing { .. });
+        let starts = is_fencing
+            && self.primary_to_demote().is_none()
+            && !self.primary_is_demoted()
+            && self.ack_stops.attempt != self.attempt_number;
+        let is_stopping = matches!(self.ack_stops.phase, AckPhase::Stopping { .. });
+        if starts || (self.order_in_doubt && !is_stopping) {
+            let term = self.highest_term_of_a_primary();
+            let stops = &mut self.ack_stops;
+            stops.round += 1;
+            stops.attempt = self.attempt_number;
+            let since = cx.now;
+            stops.start_phase(AckPhase::Stopping { term, since }, since);
+        }
+        if let AckPhase::Stopping { term, .. } = self.ack_stops.phase
+            && self.is_idle()
+            && !self.order_in_doubt
+        {
+            // A primary that has been replaced acknowledges nothing more, so its stop may lapse.
+            let leads_on = term >= self.primary_term();
+            let phase = if leads_on {
+                AckPhase::Allowing
+            } else {
+                AckPhase::Passing
+            };
+            self.ack_stops.start_phase(phase, cx.now);
+        }
+        self.ack_stops.send_due(cx, &self.name);
+        self.log_stopped_acks(cx);
+    }
+
+    fn log_stopped_acks(&mut self, cx: &mut Cx<'_>) {
+        let AckPhase::Stopping { term, .. } = self.ack_stops.phase else {
+            return;
+        };
+        if self.ack_stops.is_logged || !self.ack_stops.is_settled(cx.now) {
+            return;
+        }
+        self.ack_stops.is_logged = true;
+        cx.log(AuthorityLogEvent::AcksStopped {
+            service: self.name.clone(),
+            term,
+            parts: self.ack_stops.parts.len(),
+            silent: self.ack_stops.silent_parts(),
+            passed_on: self.ack_stops.passed_on,
+        });
+    }
+
+    /// Returns the highest term in which an instance may have led so far, as far as is known.
+    fn highest_term_of_a_primary(&self) -> Term {
+        let members = self.members.values();
+        let statuses = members.filter_map(|member| member.status.as_ref());
+        let terms = statuses.map(|(status, _)| match status.role {
+            Role::Primary => status.term.max(status.position.term),
+            Role::Replica => status.position.term,
+        });
+        terms.max().unwrap_or(0).max(self.primary_term())
+    }
+}
--- a/crates/decide/src/authority/log_event.rs
+++ b/crates/decide/src/authority/log_event.rs
@@ -118,6 +118,28 @@
         /// The instances, and the orders in doubt.
         account: Account,
     },
+    /// The hosts pass on no more acknowledgements of the primary that is to be replaced.
+    AcksStopped {
+        /// Service whose primary is to be replaced.
+        service: ServiceId,
+        /// The last term whose acknowledgements are stopped.
+        term: Term,
+        /// Number of parts that were asked.
+        parts: usize,
+        /// Number of parts that have not answered.
+        silent: usize,
+        /// The highest log position that the parts have passed on.
+        passed_on: Position,
+    },
+    /// The best instance lacks writes that were acknowledged.
+    WritesMissing {
+        /// Service whose primary is to be replaced.
+        service: ServiceId,
+        /// Log position of the best instance.
+        position: Position,
+        /// The highest log position that was passed on.
+        passed_on: Position,
+    },
     /// An instance has joined or restarted while the primary is being replaced.
     MemberChanged {
         /// Service of the instance.
@@ -145,6 +167,8 @@
             Self::UnfenceUnanswered { .. } => 360,
             Self::ReplacementAccount { .. } => 361,
             Self::MemberChanged { .. } => 362,
+            Self::AcksStopped { .. } => 363,
+            Self::WritesMissing { .. } => 364,
         }
     }
 
@@ -153,7 +177,8 @@
             Self::ReplacementWanted { .. }
             | Self::ReplacementStopped { .. }
             | Self::ReplacementHeldUp { .. }
-            | Self::UnfenceUnanswered { .. } => log::Level::Warn,
+            | Self::UnfenceUnanswered { .. }
+            | Self::WritesMissing { .. } => log::Level::Warn,
             _ => log::Level::Info,
         }
     }
@@ -263,6 +288,24 @@
                 account.ended_for_log(),
                 account.in_doubt_for_log(),
             ),
+            Self::AcksStopped {
+                service,
+                term,
+                parts,
+                silent,
+                passed_on,
+            } => write!(
+                f,
+                "acks-stopped service={service} term={term} parts={parts} silent={silent} passed_on={passed_on}"
+            ),
+            Self::WritesMissing {
+                service,
+                position,
+                passed_on,
+            } => write!(
+                f,
+                "writes-missing service={service} position={position} passed_on={passed_on}"
+            ),
             Self::MemberChanged {
                 service,
                 upstream,
--- a/crates/decide/src/authority/service.rs
+++ b/crates/decide/src/authority/service.rs
@@ -6,6 +6,7 @@
 
 use model::{Position, Role, ServiceId, Term, UpstreamId};
 
+use crate::authority::ack_stop::AckStops;
 use crate::authority::instance::{
     ANNOUNCEMENT_WAIT, AddressState, EndedInstance, MonitoredInstance,
 };
@@ -97,6 +98,8 @@
     pub(crate) ordered_to_lead: BTreeSet<UpstreamId>,
     /// The instance that keeps the primary from being replaced, if that has been logged.
     pub(crate) held_up_by: Option<UpstreamId>,
+    /// The hosts that were asked to pass on no acknowledgements.
+    pub(crate) ack_stops: AckStops,
     /// Number of the attempt whose account of the instances was logged last.
     pub(crate) accounted_attempt: u64,
 }
@@ -123,6 +126,7 @@
             has_demoted_primary: false,
             ordered_to_lead: BTreeSet::new(),
             held_up_by: None,
+            ack_stops: AckStops::default(),
             accounted_attempt: 0,
         }
     }
@@ -139,6 +143,7 @@
         self.has_demoted_primary = false;
         self.ordered_to_lead.clear();
         self.held_up_by = None;
+        self.ack_stops.reset();
         for member in self.members.values_mut() {
             member.reset(now);
         }
@@ -324,6 +329,11 @@
     pub(crate) fn step(&mut self, cx: &mut Cx<'_>, outbox: &mut Outbox) {
         self.remove_ended_members(cx);
         self.send_due_probes(cx, outbox);
+        self.advance_attempt(cx, outbox);
+        self.advance_ack_stops(cx);
+    }
+
+    fn advance_attempt(&mut self, cx: &mut Cx<'_>, outbox: &mut Outbox) {
         match &self.stage {
             FailoverStage::Idle { next_attempt_at }
                 if cx.now >= self.all_announced_by.max(*next_attempt_at) =>
@@ -417,6 +427,6 @@
             | FailoverStage::AwaitingAnswer { deadline, .. }
             | FailoverStage::ConfirmingPrimary { deadline, .. } => Some(*deadline),
         };
-        probes.chain(stage).min()
+        probes.chain(stage).chain(self.ack_stops.wake_at()).min()
     }
 }
--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -148,6 +148,7 @@
             Msg::Group(msg) => self.groups.on_msg(cx, from, msg),
             Msg::Raft(msg) => self.on_raft_msg(cx, from.host, msg),
             Msg::Grant(msg) => self.tokens.on_msg(cx, self.raft.as_mut(), from, msg),
+            Msg::AckStop(msg) => self.authority.on_ack_stop_msg(cx, &from, &msg),
             Msg::Relay(_) => {}
         }
     }
--- a/crates/decide/src/msg.rs
+++ b/crates/decide/src/msg.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{grant, group, raft, relay, spread};
+use crate::{grant, group, owner, raft, relay, spread};
 
 /// A message from one part to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -18,6 +18,9 @@
     Grant(grant::GrantMsg),
     /// Requests on their way to an owner, and answers on their way back.
     Relay(relay::RelayMsg),
+    /// Stops of acknowledgements while a primary is replaced, between the leader of consensus and
+    /// traffic parts.
+    AckStop(owner::ack_gate::AckStopMsg),
 }
 
 macro_rules! impl_from {
@@ -36,4 +39,5 @@
     Group(group::GroupMsg),
     Grant(grant::GrantMsg),
     Relay(relay::RelayMsg),
+    AckStop(owner::ack_gate::AckStopMsg),
 }
--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -7,6 +7,7 @@
 //! an upstream: slots (statements that run at the same time) and connections. A transaction that
 //! stays open between requests is pinned: it keeps its connection.
 
+pub mod ack_gate;
 pub(crate) mod announced_capacity;
 pub(crate) mod conn_events;
 pub(crate) mod connections;
@@ -27,6 +28,7 @@
 
 use crate::conn::ConnEvent;
 use crate::event::ProbeResult;
+use crate::owner::ack_gate::{AckGate, AckStopMsg};
 use crate::owner::job::Job;
 use crate::owner::primary_position::{PositionMsg, PrimaryPositions};
 use crate::owner::replica_wait::{WaitIfSoon, WaitPolicy};
@@ -62,6 +64,8 @@
     pub(crate) upstream_of_conn: HashMap<ConnId, UpstreamId>,
     /// The newest known log position of each service's primary.
     pub(crate) primary_positions: PrimaryPositions,
+    /// The acknowledgements that may be passed on to callers.
+    pub(crate) ack_gate: AckGate,
     /// The answers that are held back until they are confirmed.
     pub(crate) unconfirmed: UnconfirmedAnswers,
     /// How many connections this part has opened since the host started.
@@ -224,6 +228,11 @@
         self.shared.unconfirmed.resolve(cx, ticket, confirmed);
     }
 
+    /// Handles the request of a control host to stop or to pass on acknowledgements.
+    pub fn on_ack_stop_msg(&mut self, cx: &mut Cx<'_>, from: &PartAddr, msg: AckStopMsg) {
+        self.shared.ack_gate.on_msg(cx, from, msg);
+    }
+
     /// Handles a message of another owner about a primary's log position.
     pub fn on_position_msg(
         &mut self,
--- a/crates/decide/src/owner/conn_events.rs
+++ b/crates/decide/src/owner/conn_events.rs
@@ -265,6 +265,12 @@
     ) {
         if cx.settings.owner.capacity == CapacitySource::Announced {
             let job = &running.job;
+            let is_acknowledgement = wrote && outcome.tx == TxStatus::Idle;
+            if let Some(position) = outcome.position.filter(|_| is_acknowledgement)
+                && !shared.ack_gate.pass_on(cx.now, &self.service, position)
+            {
+                return job.answer_may_have_run(cx);
+            }
             let ended = job.is_write() && outcome.tx == TxStatus::Idle;
             let pin = (outcome.tx != TxStatus::Idle).then_some(conn);
             let answer = Answer {
--- a/crates/decide/src/traffic.rs
+++ b/crates/decide/src/traffic.rs
@@ -84,6 +84,10 @@
                 from,
                 msg: Msg::Relay(msg),
             } => self.on_relay_msg(cx, from, msg),
+            Event::Peer {
+                from,
+                msg: Msg::AckStop(msg),
+            } => self.owners.on_ack_stop_msg(cx, &from, msg),
             Event::Undelivered {
                 msg: Msg::Relay(msg),
                 ..
--- /dev/null
+++ b/crates/decide/tests/authority_model/fleet.rs
@@ -0,0 +1,200 @@
+//! The simulated instances and entry hosts, and the leader's view of them.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use decide::View;
+use decide::owner::ack_gate::AckGate;
+use decide::upstream_query::{QueryReply, UpstreamQuery};
+use decide::view::{ServiceView, UpstreamView};
+use model::{Announcement, HostInfo, InstanceStatus, Position, Role, Term, UpstreamId};
+
+/// How long the last announcement of an instance stays in force.
+const ANNOUNCEMENT_LASTS: Duration = Duration::from_secs(3);
+
+/// A simulated database instance.
+pub(crate) struct Instance {
+    number: u16,
+    pub(crate) role: Role,
+    pub(crate) term: Term,
+    /// Each commit with the term that it was run in.
+    pub(crate) log: Vec<(Term, u64)>,
+    /// Commits that no replica has received, each with the host whose caller waits.
+    pub(crate) waiting: Vec<(u64, u8)>,
+    pub(crate) paused_term: Term,
+    pub(crate) running: bool,
+    pub(crate) cut_from_leader: bool,
+    pub(crate) cut_from_primary: bool,
+    pub(crate) draining: bool,
+    pub(crate) withdrawn: bool,
+    incarnation: u64,
+    /// From when on its announcements reach the leader; `None` if they never do.
+    known_from: Option<Instant>,
+    announced_at: Option<Instant>,
+}
+
+impl Instance {
+    pub(crate) fn new(number: u16, role: Role, known_from: Option<Instant>) -> Self {
+        Self {
+            number,
+            role,
+            term: 1,
+            log: Vec::new(),
+            waiting: Vec::new(),
+            paused_term: 0,
+            running: true,
+            cut_from_leader: false,
+            cut_from_primary: false,
+            draining: false,
+            withdrawn: false,
+            incarnation: 1,
+            known_from,
+            announced_at: None,
+        }
+    }
+
+    pub(crate) fn receives(&self) -> bool {
+        self.running
+            && self.role == Role::Replica
+            && self.paused_term == 0
+            && !self.cut_from_primary
+    }
+
+    pub(crate) fn announce(&mut self, now: Instant) {
+        let known = self.known_from.is_some_and(|from| from <= now);
+        if self.running && !self.cut_from_leader && known {
+            self.announced_at = Some(now);
+        }
+    }
+
+    /// Starts again with the log that it had; a fence doesn't outlast a restart.
+    pub(crate) fn restart(&mut self) {
+        if !self.withdrawn {
+            self.running = true;
+            self.paused_term = 0;
+            self.waiting.clear();
+            self.incarnation += 1;
+        }
+    }
+
+    /// Ends it for good, and its log with it.
+    pub(crate) fn end(&mut self) {
+        self.running = false;
+        self.withdrawn = true;
+        self.log.clear();
+    }
+
+    /// Drops the commits that a new primary doesn't have.
+    pub(crate) fn roll_back_to(&mut self, log: &[(Term, u64)]) {
+        let common = self.log.iter().zip(log).take_while(|(own, new)| own == new);
+        let common = common.count();
+        self.log.truncate(common);
+    }
+
+    pub(crate) fn run_query(&mut self, query: &UpstreamQuery) -> QueryReply {
+        match query {
+            UpstreamQuery::Pause { term } if self.role == Role::Replica && *term > self.term => {
+                self.paused_term = self.paused_term.max(*term);
+            }
+            UpstreamQuery::Resume => self.paused_term = 0,
+            UpstreamQuery::Demote { term } if self.term < *term => {
+                self.role = Role::Replica;
+                self.waiting.clear();
+            }
+            _ => {}
+        }
+        QueryReply {
+            status: InstanceStatus {
+                role: self.role,
+                term: self.term,
+                position: Position::new(
+                    self.log.last().map_or(1, |(term, _)| *term),
+                    self.log.len() as u64,
+                ),
+                lag: Duration::ZERO,
+            },
+            granted: !matches!(query, UpstreamQuery::Pause { .. }) || self.paused_term > 0,
+            paused_term: self.paused_term,
+            claim: None,
+        }
+    }
+}
+
+/// A simulated entry host with one traffic part.
+#[derive(Default)]
+pub(crate) struct Host {
+    pub(crate) restarts: u64,
+    pub(crate) ack_gate: AckGate,
+}
+
+impl Host {
+    /// Returns whether it passes the acknowledgement of a commit on to the caller.
+    pub(crate) fn passes_on(&mut self, now: Instant, position: Position) -> bool {
+        self.ack_gate.pass_on(now, &"pots".into(), position)
+    }
+}
+
+pub(crate) fn front_name(number: u8) -> String {
+    format!("front-{number}")
+}
+
+pub(crate) fn host_info(name: &str, incarnation: u64, traffic_parts: u16) -> HostInfo {
+    HostInfo {
+        host: name.into(),
+        data_centre: "dc-1".into(),
+        peer_addr: "127.0.0.1:1".parse().unwrap(),
+        incarnation,
+        traffic_parts,
+        is_entry_host: traffic_parts > 0,
+        is_control_host: traffic_parts == 0,
+        leaving: false,
+    }
+}
+
+pub(crate) fn view(
+    now: Instant,
+    instances: &BTreeMap<UpstreamId, Instance>,
+    hosts: &BTreeMap<u8, Host>,
+) -> View {
+    let mut view = View::default();
+    let mut announced = Vec::new();
+    for (id, instance) in instances {
+        let lasts = |at| now.saturating_duration_since(at) < ANNOUNCEMENT_LASTS;
+        if instance.withdrawn || !instance.announced_at.is_some_and(lasts) {
+            continue;
+        }
+        announced.push(id.clone());
+        let announcement = Announcement {
+            upstream: id.clone(),
+            service: "pots".into(),
+            addr: ([127, 0, 0, 1], instance.number).into(),
+            data_centre: "dc-1".into(),
+            group_size: 0,
+            slots: 2,
+            connections: 0,
+            incarnation: instance.incarnation,
+            sequence: 1,
+            role: None,
+            warming: false,
+            draining: instance.draining,
+            leaving: false,
+        };
+        let seen = UpstreamView {
+            announcement,
+            owners: Vec::new(),
+            last_ready_at: None,
+        };
+        view.upstreams.insert(id.clone(), seen);
+    }
+    for (number, host) in hosts {
+        let info = host_info(&front_name(*number), 1 + host.restarts, 1);
+        view.hosts.insert(info.host.clone(), info);
+    }
+    let service = ServiceView {
+        primary: None,
+        upstreams: announced,
+        group_size: 0,
+    };
+    view.services.insert("pots".into(), service);
+    view
+}
--- /dev/null
+++ b/crates/decide/tests/stopped_acks.rs
@@ -0,0 +1,161 @@
+//! Acknowledgements of commits while the leader of consensus replaces a primary.
+#![allow(clippy::unwrap_used, reason = "a test that meets an error ends there")]
+
+mod traffic_harness;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use decide::conn::{ConnEvent, RunOutcome};
+use decide::owner::CapacitySource;
+use decide::owner::ack_gate::AckStopMsg;
+use decide::relay::{RelayMsg, RunRequest};
+use decide::{Effect, Event, Msg, Settings};
+use model::{Kind, PartAddr, Position, TxStatus, Verdict};
+use traffic_harness::{Harness, first_run, take_addressed_msgs, two_owner_harness};
+
+/// An owner of the instance, and the request that its callers' host sends.
+struct Owner {
+    harness: Harness,
+    run: RunRequest,
+}
+
+fn entry_part() -> PartAddr {
+    PartAddr {
+        host: "h2".into(),
+        part: 1,
+    }
+}
+
+fn leader(host: &str) -> PartAddr {
+    PartAddr {
+        host: host.into(),
+        part: model::CONTROL_PART,
+    }
+}
+
+impl Owner {
+    fn new() -> Self {
+        let mut settings = Settings::default();
+        settings.owner.capacity = CapacitySource::Announced;
+        let mut harness = two_owner_harness(settings);
+        harness.request(|req| req.kind = Kind::Write);
+        let (_, run) = first_run(&take_addressed_msgs(&mut harness));
+        let up = harness.view.upstreams.get_mut("i1").unwrap();
+        up.owners = vec!["h1".into()];
+        harness.publish_view();
+        Self { harness, run }
+    }
+
+    /// Runs a write that the instance commits at a position, and returns the verdict.
+    fn write(&mut self, term: u64, number: u64) -> Verdict {
+        let from = entry_part();
+        self.run.id += 1;
+        let msg = Msg::Relay(RelayMsg::Run(Box::new(self.run.clone())));
+        self.harness.handle(Event::Peer { from, msg });
+        let mut verdict = None;
+        while verdict.is_none() {
+            let effects: Vec<Effect> = self.harness.effects.drain(..).collect();
+            assert!(!effects.is_empty(), "the write has no answer");
+            for effect in effects {
+                match effect {
+                    Effect::OpenConn { conn, .. } => {
+                        self.harness.handle(Event::Conn(ConnEvent::Opened { conn }));
+                    }
+                    Effect::RunOnConn { conn, .. } => {
+                        let outcome = RunOutcome {
+                            payload: Bytes::new(),
+                            tx: TxStatus::Idle,
+                            rejected: None,
+                            position: Some(Position::new(term, number)),
+                            status_before: None,
+                            status_after: None,
+                        };
+                        let done = ConnEvent::Done { conn, outcome };
+                        self.harness.handle(Event::Conn(done));
+                    }
+                    Effect::Send {
+                        msg: Msg::Relay(RelayMsg::Answer { answer, .. }),
+                        ..
+                    } => verdict = Some(answer.verdict),
+                    _ => {}
+                }
+            }
+        }
+        verdict.unwrap()
+    }
+
+    /// Gives the part a message of a control host, and returns the answer.
+    fn tell(&mut self, host: &str, msg: AckStopMsg) -> AckStopMsg {
+        self.harness.effects.clear();
+        let (from, msg) = (leader(host), Msg::AckStop(msg));
+        self.harness.handle(Event::Peer { from, msg });
+        let mut sent = self
+            .harness
+            .effects
+            .drain(..)
+            .filter_map(|effect| match effect {
+                Effect::Send {
+                    msg: Msg::AckStop(msg),
+                    to,
+                } => Some((to, msg)),
+                _ => None,
+            });
+        let (to, msg) = sent.next().unwrap();
+        assert_eq!(to, leader(host));
+        msg
+    }
+}
+
+fn stop(term: u64, round: u64) -> AckStopMsg {
+    AckStopMsg::Stop {
+        service: "ledger".into(),
+        term,
+        round,
+    }
+}
+
+fn allow(round: u64) -> AckStopMsg {
+    AckStopMsg::Allow {
+        service: "ledger".into(),
+        round,
+    }
+}
+
+/// Guards against a commit that a caller is told of after the successor was chosen.
+#[test]
+fn a_commit_of_a_stopped_term_is_not_acknowledged() {
+    let mut owner = Owner::new();
+    assert_eq!(owner.write(1, 7), Verdict::Ran);
+    let stopped = owner.tell("c1", stop(1, 4));
+    let expected = AckStopMsg::Stopped {
+        service: "ledger".into(),
+        round: 4,
+        incarnation: 1,
+        passed_on: Position::new(1, 7),
+    };
+    assert_eq!(stopped, expected);
+    assert_eq!(owner.write(1, 8), Verdict::MayHaveRun);
+    assert_eq!(owner.write(2, 8), Verdict::Ran);
+}
+
+#[test]
+fn commits_are_acknowledged_again_once_the_stop_has_ended() {
+    let mut owner = Owner::new();
+    owner.tell("c1", stop(1, 4));
+    owner.tell("c1", allow(4));
+    assert_eq!(owner.write(1, 8), Verdict::Ran);
+    owner.tell("c1", stop(1, 5));
+    owner.harness.now += Duration::from_secs(21);
+    assert_eq!(owner.write(1, 9), Verdict::Ran);
+}
+
+/// Guards against a former leader that ends the stop of the present one.
+#[test]
+fn a_stop_is_ended_only_by_the_host_that_asked_for_it() {
+    let mut owner = Owner::new();
+    owner.tell("c1", stop(1, 4));
+    owner.tell("c2", allow(9));
+    owner.tell("c1", allow(3));
+    assert_eq!(owner.write(1, 8), Verdict::MayHaveRun);
+}
