authority: stop acknowledgements of all terms while orders are in doubt

Commits were lost where two orders for different instances were both carried out seconds late: the first one's instance led and acknowledged until the second order was carried out for another one.

Cause: acknowledgements were stopped up to the term of the primary that was to be replaced, and the instance that leads by the first order has a higher term.

An attempt that begins with an order in doubt stops all terms; the stop ends with the doubt. A caller whose commit falls into that time hears that it may have run.

--- a/crates/decide/src/authority/ack_stop.rs
+++ b/crates/decide/src/authority/ack_stop.rs
@@ -206,7 +206,13 @@
             && self.ack_stops.attempt != self.attempt_number;
         let is_stopping = matches!(self.ack_stops.phase, AckPhase::Stopping { .. });
         if starts || (self.order_in_doubt && !is_stopping) {
-            let term = self.highest_term_of_a_primary();
+            // Orders in doubt may make two instances primary in turn, so the terms in between are
+            // stopped too.
+            let term = if self.order_in_doubt {
+                Term::MAX
+            } else {
+                self.highest_term_of_a_primary()
+            };
             let stops = &mut self.ack_stops;
             stops.round += 1;
             stops.attempt = self.attempt_number;
--- a/crates/decide/tests/authority_search.rs
+++ b/crates/decide/tests/authority_search.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use authority_model::schedule::{Op, draw, lost_commit, shorten};
-use authority_model::World;
+use authority_model::{Fate, World};
 
 /// Returns the seeds to search: `AUTHORITY_SEEDS` of the form `FIRST..END`, or the usual ones.
 fn seeds() -> std::ops::Range<u64> {
@@ -90,3 +90,15 @@
     ];
     assert_eq!(lost_commit(267, &schedule), None);
 }
+
+/// Guards against commits of an instance that leads by one late order until the next is carried out.
+#[test]
+fn two_late_orders_for_different_instances_lose_no_commit() {
+    let schedule = [
+        (ms(1320), Op::CutPrimaryFromLeader),
+        (ms(1044), Op::Join(Some(ms(1657)))),
+        (ms(180), Op::Join(Some(ms(926)))),
+        (ms(1306), Op::Orders(Fate::Late(ms(6548)))),
+    ];
+    assert_eq!(lost_commit(1079, &schedule), None);
+}
