--- a/crates/decide/src/authority/log_event.rs
+++ b/crates/decide/src/authority/log_event.rs
@@ -6,6 +6,7 @@
 use model::{Position, ServiceId, Term, UpstreamId};
 
 use crate::authority::PromotionError;
+use crate::authority::account::Account;
 use crate::authority::instance::EndEvidence;
 use crate::log_event::NumberedEvent;
 use crate::raft::LogIndex;
@@ -110,6 +111,44 @@
         /// How that is known.
         evidence: EndEvidence,
     },
+    /// What is known of the instances when a successor is to be chosen.
+    ReplacementAccount {
+        /// Service whose primary is to be replaced.
+        service: ServiceId,
+        /// The instances, and the orders in doubt.
+        account: Account,
+    },
+    /// The hosts pass on no more acknowledgements of the primary that is to be replaced.
+    AcksStopped {
+        /// Service whose primary is to be replaced.
+        service: ServiceId,
+        /// The last term whose acknowledgements are stopped.
+        term: Term,
+        /// Number of parts that were asked.
+        parts: usize,
+        /// Number of parts that have not answered.
+        silent: usize,
+        /// The highest log position that the parts have passed on.
+        passed_on: Position,
+    },
+    /// The best instance lacks writes that were acknowledged.
+    WritesMissing {
+        /// Service whose primary is to be replaced.
+        service: ServiceId,
+        /// Log position of the best instance.
+        position: Position,
+        /// The highest log position that was passed on.
+        passed_on: Position,
+    },
+    /// An instance has joined or restarted while the primary is being replaced.
+    MemberChanged {
+        /// Service of the instance.
+        service: ServiceId,
+        /// Instance that has joined or restarted.
+        upstream: UpstreamId,
+        /// What has happened.
+        change: &'static str,
+    },
 }
 
 impl NumberedEvent for AuthorityLogEvent {
@@ -126,6 +165,10 @@
             Self::ReplacementHeldUp { .. } => 358,
             Self::InstanceEnded { .. } => 359,
             Self::UnfenceUnanswered { .. } => 360,
+            Self::ReplacementAccount { .. } => 361,
+            Self::MemberChanged { .. } => 362,
+            Self::AcksStopped { .. } => 363,
+            Self::WritesMissing { .. } => 364,
         }
     }
 
@@ -134,7 +177,8 @@
             Self::ReplacementWanted { .. }
             | Self::ReplacementStopped { .. }
             | Self::ReplacementHeldUp { .. }
-            | Self::UnfenceUnanswered { .. } => log::Level::Warn,
+            | Self::UnfenceUnanswered { .. }
+            | Self::WritesMissing { .. } => log::Level::Warn,
             _ => log::Level::Info,
         }
     }
@@ -237,6 +281,39 @@
                 "instance-ended service={service} upstream={upstream} evidence={}",
                 evidence.name()
             ),
+            Self::ReplacementAccount { service, account } => write!(
+                f,
+                "replacement-account service={service} members={} ended={} in_doubt={}",
+                account.members_for_log(),
+                account.ended_for_log(),
+                account.in_doubt_for_log(),
+            ),
+            Self::AcksStopped {
+                service,
+                term,
+                parts,
+                silent,
+                passed_on,
+            } => write!(
+                f,
+                "acks-stopped service={service} term={term} parts={parts} silent={silent} passed_on={passed_on}"
+            ),
+            Self::WritesMissing {
+                service,
+                position,
+                passed_on,
+            } => write!(
+                f,
+                "writes-missing service={service} position={position} passed_on={passed_on}"
+            ),
+            Self::MemberChanged {
+                service,
+                upstream,
+                change,
+            } => write!(
+                f,
+                "member-changed service={service} upstream={upstream} change={change}"
+            ),
         }
     }
 }
