testbed: a test partner on the users' platform, and a seeded soak with real hosts

The new crate platform/testbed has instances with replication and sync-replicas, the platform's orders with fencing tokens, an operator and callers. Callers check each success for its own signature and rows; instances check each statement they run against what its caller sent: id, text, shape, values, transaction. At the end acknowledged commits are compared with the log of each promoted instance, and promises that nothing is kept with what was committed. Each kind of trouble is a test of its own.

--- /dev/null
+++ b/crates/carawayd/tests/platform_soak.rs
@@ -0,0 +1,120 @@
+//! A randomized soak test on the users' platform: real hosts with test instances and callers that
+//! check each statement, row, value and commit, one test for each kind of trouble.
+//!
+//! `SOAK_SEEDS=1..51 SOAK_TIME=20s cargo test --release -p carawayd --test platform_soak -- --nocapture`
+//! runs more seeds, for longer; `SOAK_TROUBLES=odd-bytes,cuts` sets the kinds of trouble of the test
+//! `chosen`. The same seed draws the same faults, but their effects also depend on timing.
+#![allow(clippy::unwrap_used, reason = "a test that meets an error ends there")]
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use testbed::{Setup, Trouble, run};
+use tokio::sync::Semaphore;
+
+/// Fleets that run at a time.
+static FLEETS: Semaphore = Semaphore::const_new(3);
+/// The seed that is run unless `SOAK_SEEDS` is set, as in CI.
+const CI_SEED: u64 = 1;
+/// Broken guarantees that are printed for a seed.
+const SHOWN: usize = 30;
+
+/// Returns the seeds to run: `SOAK_SEEDS`, a range or one seed, or else that of CI.
+fn seeds() -> Vec<u64> {
+    let Ok(text) = std::env::var("SOAK_SEEDS") else {
+        return vec![CI_SEED];
+    };
+    let number = |text: &str| text.parse().expect("a number");
+    match text.split_once("..") {
+        Some((first, end)) => (number(first)..number(end)).collect(),
+        None => vec![number(&text)],
+    }
+}
+
+/// Returns how long faults are injected for each seed.
+fn soak_time(default: u64) -> Duration {
+    let text = std::env::var("SOAK_TIME").ok();
+    text.map_or(Duration::from_secs(default), |text| {
+        humantime::parse_duration(&text).unwrap()
+    })
+}
+
+/// Runs all seeds with these kinds of trouble, and fails if any guarantee is broken.
+async fn soak(troubles: &[Trouble], default_secs: u64) {
+    let _permit = FLEETS.acquire().await.unwrap();
+    let mut failed = Vec::new();
+    for seed in seeds() {
+        let setup = Setup {
+            binary: env!("CARGO_BIN_EXE_carawayd").into(),
+            seed,
+            time: soak_time(default_secs),
+            troubles: troubles.iter().copied().collect::<BTreeSet<_>>(),
+        };
+        let outcome = run(&setup).await;
+        println!(
+            "{troubles:?} seed {seed}: {} writes kept, {} promotions, {} guarantees broken",
+            outcome.kept,
+            outcome.promotions,
+            outcome.broken.len()
+        );
+        if outcome.broken.is_empty() {
+            assert!(outcome.kept > 10, "too few writes for this test");
+            continue;
+        }
+        let shown = outcome.broken.iter().take(SHOWN).chain(&outcome.notes);
+        shown.for_each(|line| println!("  {line}"));
+        println!("{}", outcome.logs);
+        failed.push((seed, outcome.broken[0].clone()));
+    }
+    assert!(failed.is_empty(), "broken with {troubles:?}: {failed:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn guarantees_hold_without_trouble() {
+    soak(&[], 3).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn statements_and_rows_with_odd_bytes_pass_unchanged() {
+    soak(&[Trouble::OddBytes], 4).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_instance_that_answers_twice_confuses_no_caller() {
+    soak(&[Trouble::SecondAnswers], 5).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn half_and_lost_answers_confuse_no_caller() {
+    soak(&[Trouble::HalfAnswers], 5).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_commit_is_lost_while_instances_join_and_orders_are_late() {
+    let troubles = [
+        Trouble::Cuts,
+        Trouble::Crashes,
+        Trouble::Joins,
+        Trouble::LateOrders,
+    ];
+    soak(&troubles, 15).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn guarantees_hold_while_hosts_restart() {
+    soak(&[Trouble::Hosts], 8).await;
+}
+
+/// Runs the kinds of `SOAK_TROUBLES`, and nothing if it isn't set.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn chosen() {
+    let Ok(names) = std::env::var("SOAK_TROUBLES") else {
+        return;
+    };
+    let names: Vec<&str> = names.split(',').collect();
+    let named = |name: &&&str| Trouble::ALL.iter().any(|kind| kind.name() == **name);
+    assert_eq!(names.iter().filter(named).count(), names.len(), "{names:?}");
+    let chosen = Trouble::ALL.into_iter();
+    let chosen: Vec<Trouble> = chosen.filter(|kind| names.contains(&kind.name())).collect();
+    soak(&chosen, 8).await;
+}
