pg: refuse a service name that would add start-up parameters

Change: such a name is refused before a connection is made. Ruled out: the calls of `pg_adapter` quote host names and ids with doubled quotes, and ids are checked for control characters when they are announced; callers' statements go on as whole messages with their length.

--- a/crates/host/src/pg_upstream.rs
+++ b/crates/host/src/pg_upstream.rs
@@ -43,6 +43,12 @@
     database: &str,
     cfg: &UpstreamSettings,
 ) -> Result<UpstreamStream, LoginError> {
+    // The start-up message ends each name and value with a NUL.
+    if database.contains('\0') {
+        return Err(LoginError::Refused(
+            "the service's name holds a NUL".to_owned(),
+        ));
+    }
     let stream = TcpStream::connect(addr).await?;
     socket_options::set_options_or_warn(&stream);
     let codec = UpstreamCodec::new(cfg.max_answer_bytes);
