owner: count only commits of transactions that have written as passed on

A service could get no primary any more. The COMMIT of a transaction that wrote nothing succeeds at once, also at a primary that is cut off from its replicas, and carries the position of the log, with commits that no replica confirms. It counted as an acknowledgement, and no replica ever reaches that position.

Evidence: only_commits_of_transactions_that_have_written_count fails before: Stopped { .., passed_on: Position { term: 1, offset: 90 } } where the last acknowledged commit is 1/7.

An open transaction is counted, and stopped, only if one of its statements has written; a rollback never is.

--- a/crates/decide/src/owner/conn_events.rs
+++ b/crates/decide/src/owner/conn_events.rs
@@ -207,6 +207,12 @@
         let pinned = pin.is_some();
         let verdict = check_outcome(&running, &outcome, pinned);
         let keeps_transaction = verdict.is_ok() && !running.caller_gone;
+        // A `COMMIT` counts as a write even if its transaction has written nothing.
+        let commits = match &pin {
+            Some(pin) => pin.may_have_written && !running.job.run.req.rolls_back,
+            None => running.job.is_write(),
+        };
+        let commits = commits && outcome.tx == TxStatus::Idle;
         let wrote = running.job.is_write() || pin.is_some_and(|pin| pin.may_have_written);
         match outcome.tx {
             TxStatus::Idle => {
@@ -245,6 +251,13 @@
                     .job
                     .refuse(cx, Refusal::TransactionLost, "not-primary");
             }
+            Ok(())
+                if commits
+                    && let Some(position) = outcome.position
+                    && !shared.ack_gate.pass_on(cx.now, &self.service, position) =>
+            {
+                running.job.answer_may_have_run(cx);
+            }
             Ok(()) => self.answer_once_confirmed(cx, shared, conn, running, outcome, wrote),
         }
     }
@@ -265,12 +278,6 @@
     ) {
         if cx.settings.owner.capacity == CapacitySource::Announced {
             let job = &running.job;
-            let is_acknowledgement = wrote && outcome.tx == TxStatus::Idle;
-            if let Some(position) = outcome.position.filter(|_| is_acknowledgement)
-                && !shared.ack_gate.pass_on(cx.now, &self.service, position)
-            {
-                return job.answer_may_have_run(cx);
-            }
             let ended = job.is_write() && outcome.tx == TxStatus::Idle;
             let pin = (outcome.tx != TxStatus::Idle).then_some(conn);
             let answer = Answer {
--- a/crates/decide/tests/stopped_acks.rs
+++ b/crates/decide/tests/stopped_acks.rs
@@ -11,7 +11,7 @@
 use decide::owner::ack_gate::AckStopMsg;
 use decide::relay::{RelayMsg, RunRequest};
 use decide::{Effect, Event, Msg, Settings};
-use model::{Kind, PartAddr, Position, TxStatus, Verdict};
+use model::{ConnId, Kind, PartAddr, Position, TxStatus, Verdict};
 use traffic_harness::{Harness, first_run, take_addressed_msgs, two_owner_harness};
 
 /// An owner of the instance, and the request that its callers' host sends.
@@ -49,14 +49,18 @@
 
     /// Runs a write that the instance commits at a position, and returns the verdict.
     fn write(&mut self, term: u64, number: u64) -> Verdict {
+        self.run(TxStatus::Idle, Position::new(term, number)).0
+    }
+
+    /// Runs a request, and returns the verdict and the connection that a transaction keeps.
+    fn run(&mut self, tx: TxStatus, position: Position) -> (Verdict, Option<ConnId>) {
         let from = entry_part();
         self.run.id += 1;
         let msg = Msg::Relay(RelayMsg::Run(Box::new(self.run.clone())));
         self.harness.handle(Event::Peer { from, msg });
-        let mut verdict = None;
-        while verdict.is_none() {
+        loop {
             let effects: Vec<Effect> = self.harness.effects.drain(..).collect();
-            assert!(!effects.is_empty(), "the write has no answer");
+            assert!(!effects.is_empty(), "the request has no answer");
             for effect in effects {
                 match effect {
                     Effect::OpenConn { conn, .. } => {
@@ -65,9 +69,9 @@
                     Effect::RunOnConn { conn, .. } => {
                         let outcome = RunOutcome {
                             payload: Bytes::new(),
-                            tx: TxStatus::Idle,
+                            tx,
                             rejected: None,
-                            position: Some(Position::new(term, number)),
+                            position: Some(position),
                             status_before: None,
                             status_after: None,
                         };
@@ -75,14 +79,23 @@
                         self.harness.handle(Event::Conn(done));
                     }
                     Effect::Send {
-                        msg: Msg::Relay(RelayMsg::Answer { answer, .. }),
+                        msg: Msg::Relay(RelayMsg::Answer { answer, pin, .. }),
                         ..
-                    } => verdict = Some(answer.verdict),
+                    } => return (answer.verdict, pin),
                     _ => {}
                 }
             }
         }
-        verdict.unwrap()
+    }
+
+    /// Runs a transaction with one statement, and returns the verdict of its `COMMIT`.
+    fn commit_transaction(&mut self, statement: Kind, number: u64) -> Verdict {
+        (self.run.req.in_transaction, self.run.req.kind) = (true, statement);
+        let (_, pin) = self.run(TxStatus::Open, Position::new(1, number));
+        (self.run.pin, self.run.req.kind) = (pin, Kind::Write);
+        let (verdict, _) = self.run(TxStatus::Idle, Position::new(1, number));
+        (self.run.pin, self.run.req.in_transaction) = (None, false);
+        verdict
     }
 
     /// Gives the part a message of a control host, and returns the answer.
@@ -159,3 +172,20 @@
     owner.tell("c1", allow(3));
     assert_eq!(owner.write(1, 8), Verdict::MayHaveRun);
 }
+
+/// Guards against a service without a primary: the `COMMIT` of a transaction that wrote nothing
+/// carries the position of a log that no replica may ever receive.
+#[test]
+fn only_commits_of_transactions_that_have_written_count() {
+    let mut owner = Owner::new();
+    assert_eq!(owner.commit_transaction(Kind::Write, 7), Verdict::Ran);
+    assert_eq!(owner.commit_transaction(Kind::Read, 90), Verdict::Ran);
+    let stopped = owner.tell("c1", stop(1, 4));
+    assert!(
+        matches!(&stopped, AckStopMsg::Stopped { passed_on, .. } if *passed_on == Position::new(1, 7)),
+        "{stopped:?}"
+    );
+    assert_eq!(owner.commit_transaction(Kind::Read, 90), Verdict::Ran);
+    let verdict = owner.commit_transaction(Kind::Write, 8);
+    assert_eq!(verdict, Verdict::MayHaveRun);
+}
