authority: bound the wait for writes that no instance has

The position in an answer is that of the log, which may be ahead of the commit that it answers and of what any replica has received. After the crash of such a primary no instance ever reaches what the hosts have passed on, and the service would get no primary for good.

After 20 s, the time for which an ended replica is waited for too, the best instance is promoted, and 365 says so. The wait starts anew once a primary has reported.

--- a/crates/decide/src/authority/ack_stop.rs
+++ b/crates/decide/src/authority/ack_stop.rs
@@ -10,13 +10,19 @@
 
 use model::{FIRST_TRAFFIC_PART, Incarnation, PartAddr, Position, Role, ServiceId, Term};
 
-use crate::authority::AuthorityLogEvent;
 use crate::authority::service::{FailoverStage, MonitoredService};
+use crate::authority::{AuthorityLogEvent, Outbox};
 use crate::owner::ack_gate::{AckStopMsg, STOP_TIME};
 use crate::{Cx, View};
 
 /// How long an attempt waits for parts that don't answer.
 const ANSWER_WAIT: Duration = Duration::from_millis(400);
+/// Pause before the next attempt after one whose best instance lacked writes.
+const MISSING_WRITES_PAUSE: Duration = Duration::from_secs(1);
+/// How long writes that were passed on are waited for.
+///
+/// The position in an answer is that of the log, which may be ahead of what any replica received.
+const MISSING_WRITES_WAIT: Duration = Duration::from_secs(20);
 /// Interval at which a request without an answer is sent again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which a stop that is in force is renewed.
@@ -58,6 +64,8 @@
     is_logged: bool,
     /// The highest log position that parts have reported to have passed on.
     passed_on: Position,
+    /// Since when the best instance has lacked writes that were passed on.
+    missing_since: Option<Instant>,
 }
 
 impl AckStops {
@@ -89,6 +97,7 @@
     pub(crate) fn reset(&mut self) {
         self.phase = AckPhase::Passing;
         self.passed_on = Position::default();
+        self.missing_since = None;
     }
 
     fn start_phase(&mut self, phase: AckPhase, now: Instant) {
@@ -115,9 +124,9 @@
         parts.filter(|part| !part.has_answered).count()
     }
 
-    /// Returns the highest log position that parts have reported to have passed on.
-    pub(crate) fn passed_on(&self) -> Position {
-        self.passed_on
+    /// Ends the wait for missing writes, since a primary leads.
+    pub(crate) fn on_primary_confirmed(&mut self) {
+        self.missing_since = None;
     }
 
     fn send_due(&mut self, cx: &mut Cx<'_>, service: &ServiceId) {
@@ -236,6 +245,42 @@
         self.log_stopped_acks(cx);
     }
 
+    /// Ends the attempt if the best instance lacks writes that were passed on, and returns whether
+    /// it does.
+    ///
+    /// An instance that isn't announced yet may have them, or the primary may return with its log.
+    pub(crate) fn holds_back(
+        &mut self,
+        cx: &mut Cx<'_>,
+        outbox: &mut Outbox,
+        position: Position,
+    ) -> bool {
+        let (service, passed_on) = (self.name.clone(), self.ack_stops.passed_on);
+        if position >= passed_on {
+            self.ack_stops.missing_since = None;
+            return false;
+        }
+        let since = *self.ack_stops.missing_since.get_or_insert(cx.now);
+        if cx.now >= since + MISSING_WRITES_WAIT {
+            cx.log(AuthorityLogEvent::WritesGivenUp {
+                service,
+                position,
+                passed_on,
+            });
+            return false;
+        }
+        cx.log(AuthorityLogEvent::WritesMissing {
+            service,
+            position,
+            passed_on,
+        });
+        self.end_attempt_without_order(cx, outbox, "writes-missing");
+        self.stage = FailoverStage::Idle {
+            next_attempt_at: cx.now + MISSING_WRITES_PAUSE,
+        };
+        true
+    }
+
     fn log_stopped_acks(&mut self, cx: &mut Cx<'_>) {
         let AckPhase::Stopping { term, .. } = self.ack_stops.phase else {
             return;
--- a/crates/decide/src/authority/failover.rs
+++ b/crates/decide/src/authority/failover.rs
@@ -24,8 +24,6 @@
 
 /// Timeout of the commit that numbers an order, and again of the platform's answer.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Pause before the next attempt after one whose best instance lacked acknowledged writes.
-const MISSING_WRITES_PAUSE: Duration = Duration::from_secs(1);
 /// How long the chosen instance may take to report the role of primary after the platform has
 /// accepted the order.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -161,13 +159,11 @@
         if !primary_is_fenced && !self.ack_stops.is_settled(cx.now) {
             return;
         }
-        let passed_on = self.ack_stops.passed_on();
         if let Some((_, (position, _))) = best
             && !primary_is_fenced
-            && *position < passed_on
+            && self.holds_back(cx, outbox, *position)
         {
-            let position = *position;
-            return self.hold_back_successor(cx, outbox, position);
+            return;
         }
         let Some((chosen, (position, _))) = best else {
             return;
@@ -181,21 +177,6 @@
         self.request_order(cx, outbox, &chosen, fenced);
     }
 
-    /// Ends an attempt because the best instance lacks writes that were acknowledged.
-    ///
-    /// An instance that isn't announced yet may have them, or the primary may return with its log.
-    fn hold_back_successor(&mut self, cx: &mut Cx<'_>, outbox: &mut Outbox, position: Position) {
-        cx.log(AuthorityLogEvent::WritesMissing {
-            service: self.name.clone(),
-            position,
-            passed_on: self.ack_stops.passed_on(),
-        });
-        self.end_attempt_without_order(cx, outbox, "writes-missing");
-        self.stage = FailoverStage::Idle {
-            next_attempt_at: cx.now + MISSING_WRITES_PAUSE,
-        };
-    }
-
     /// Queues the order to promote an instance, and waits for its number.
     pub(crate) fn request_order(
         &mut self,
--- a/crates/decide/src/authority/log_event.rs
+++ b/crates/decide/src/authority/log_event.rs
@@ -140,6 +140,15 @@
         /// The highest log position that was passed on.
         passed_on: Position,
     },
+    /// Writes that were acknowledged have been waited for in vain, and the best instance leads.
+    WritesGivenUp {
+        /// Service whose primary is to be replaced.
+        service: ServiceId,
+        /// Log position of the best instance.
+        position: Position,
+        /// The highest log position that was passed on.
+        passed_on: Position,
+    },
     /// An instance has joined or restarted while the primary is being replaced.
     MemberChanged {
         /// Service of the instance.
@@ -169,6 +178,7 @@
             Self::MemberChanged { .. } => 362,
             Self::AcksStopped { .. } => 363,
             Self::WritesMissing { .. } => 364,
+            Self::WritesGivenUp { .. } => 365,
         }
     }
 
@@ -178,7 +188,8 @@
             | Self::ReplacementStopped { .. }
             | Self::ReplacementHeldUp { .. }
             | Self::UnfenceUnanswered { .. }
-            | Self::WritesMissing { .. } => log::Level::Warn,
+            | Self::WritesMissing { .. }
+            | Self::WritesGivenUp { .. } => log::Level::Warn,
             _ => log::Level::Info,
         }
     }
@@ -306,6 +317,14 @@
                 f,
                 "writes-missing service={service} position={position} passed_on={passed_on}"
             ),
+            Self::WritesGivenUp {
+                service,
+                position,
+                passed_on,
+            } => write!(
+                f,
+                "writes-given-up service={service} position={position} passed_on={passed_on}"
+            ),
             Self::MemberChanged {
                 service,
                 upstream,
--- a/crates/decide/src/authority/service.rs
+++ b/crates/decide/src/authority/service.rs
@@ -290,6 +290,7 @@
         }
         self.no_primary_since = None;
         self.has_demoted_primary = false;
+        self.ack_stops.on_primary_confirmed();
         if let FailoverStage::ConfirmingPrimary { upstream, .. } = &self.stage
             && upstream == id
         {
--- a/crates/decide/tests/authority_model/fleet.rs
+++ b/crates/decide/tests/authority_model/fleet.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use decide::View;
-use decide::owner::ack_gate::AckGate;
+use decide::owner::ack_gate::{AckGate, AckStopMsg};
 use decide::upstream_query::{QueryReply, UpstreamQuery};
 use decide::view::{ServiceView, UpstreamView};
-use model::{Announcement, HostInfo, InstanceStatus, Position, Role, Term, UpstreamId};
+use decide::{Cx, Effect, Msg, View};
+use model::{Announcement, HostInfo, InstanceStatus, PartAddr, Position, Role, Term, UpstreamId};
+
+use super::{Due, NETWORK_TIME, World};
 
 /// How long the last announcement of an instance stays in force.
 const ANNOUNCEMENT_LASTS: Duration = Duration::from_secs(3);
@@ -198,3 +200,49 @@
     view.services.insert("pots".into(), service);
     view
 }
+
+impl World {
+    /// Restarts a host; its callers lose what they wait for, and it forgets what it was told.
+    pub(crate) fn restart_host(&mut self, number: u8) {
+        let restarts = self.hosts[&number].restarts + 1;
+        let host = Host {
+            restarts,
+            ..Host::default()
+        };
+        self.hosts.insert(number, host);
+        for instance in self.instances.values_mut() {
+            instance.waiting.retain(|(_, host)| *host != number);
+        }
+    }
+
+    /// Gives a host a message of the leader, and the leader its answer.
+    pub(crate) fn with_host(&mut self, number: u8, msg: AckStopMsg) {
+        let host = self.hosts.get_mut(&number).unwrap();
+        let me = host_info(&front_name(number), 1 + host.restarts, 1);
+        let mut effects = Vec::new();
+        let mut raised = std::collections::VecDeque::new();
+        let mut cx = Cx {
+            now: self.now,
+            me: &me,
+            part: 1,
+            settings: &self.settings,
+            rng: &mut self.rng,
+            effects: &mut effects,
+            raised_events: &mut raised,
+        };
+        let from = PartAddr {
+            host: self.me.host.clone(),
+            part: model::CONTROL_PART,
+        };
+        host.ack_gate.on_msg(&mut cx, &from, msg);
+        for effect in effects {
+            if let Effect::Send {
+                msg: Msg::AckStop(msg),
+                ..
+            } = effect
+            {
+                self.at(self.now + NETWORK_TIME, Due::ToLeader(number, msg));
+            }
+        }
+    }
+}
