authority: show what the stop of acknowledgements doesn't cover

A host that restarts between the stop and the promotion has forgotten the stop, and a host that the leader can't reach never hears of it. Both pass on commits that only a replica which the leader doesn't know confirms.

--- a/crates/decide/tests/authority_model/fleet.rs
+++ b/crates/decide/tests/authority_model/fleet.rs
@@ -126,6 +126,8 @@
 #[derive(Default)]
 pub(crate) struct Host {
     pub(crate) restarts: u64,
+    /// Whether messages of the leader don't reach it.
+    pub(crate) cut_from_leader: bool,
     pub(crate) ack_gate: AckGate,
 }
 
@@ -218,6 +220,9 @@
     /// Gives a host a message of the leader, and the leader its answer.
     pub(crate) fn with_host(&mut self, number: u8, msg: AckStopMsg) {
         let host = self.hosts.get_mut(&number).unwrap();
+        if host.cut_from_leader {
+            return;
+        }
         let me = host_info(&front_name(number), 1 + host.restarts, 1);
         let mut effects = Vec::new();
         let mut raised = std::collections::VecDeque::new();
--- a/crates/decide/tests/authority_model/schedule.rs
+++ b/crates/decide/tests/authority_model/schedule.rs
@@ -27,6 +27,8 @@
     Queries(Fate),
     LeaderChange,
     HostRestart(u8),
+    /// The leader doesn't reach the host, which serves callers and reaches all instances.
+    CutHostFromLeader(u8),
     /// Ends all cuts and starts what has crashed.
     HealAll,
 }
@@ -92,7 +94,14 @@
             Self::Queries(fate) => world.queries_fate = *fate,
             Self::LeaderChange => world.change_leader(),
             Self::HostRestart(host) => world.restart_host(*host),
+            Self::CutHostFromLeader(number) => {
+                let host = world.hosts.get_mut(number);
+                host.expect("there are two hosts").cut_from_leader = true;
+            }
             Self::HealAll => {
+                for host in world.hosts.values_mut() {
+                    host.cut_from_leader = false;
+                }
                 (world.orders_fate, world.queries_fate) = (Fate::Answered, Fate::Answered);
                 for instance in world.instances.values_mut() {
                     instance.cut_from_leader = false;
--- a/crates/decide/tests/authority_search.rs
+++ b/crates/decide/tests/authority_search.rs
@@ -124,3 +124,25 @@
     assert_eq!((world.promotions, world.given_up), (1, 1));
     assert!(world.acknowledges());
 }
+
+/// Guards against commits that a host passes on which forgot the stop by a restart.
+#[test]
+fn a_host_that_restarts_before_a_promotion_passes_on_no_lost_commit() {
+    let schedule = [
+        (ms(3353), Op::CutPrimaryFromLeader),
+        (ms(1658), Op::Join(None)),
+        (ms(100), Op::HostRestart(2)),
+    ];
+    assert_eq!(lost_commit(326, &schedule), None);
+}
+
+/// Guards against commits that a host passes on which the leader can't stop.
+#[test]
+fn a_host_that_the_leader_cannot_reach_passes_on_no_lost_commit() {
+    let schedule = [
+        (ms(100), Op::CutHostFromLeader(2)),
+        (ms(781), Op::CutPrimaryFromLeader),
+        (ms(727), Op::Join(None)),
+    ];
+    assert_eq!(lost_commit(66, &schedule), None);
+}
