owner: tell why a pooled connection is of no more use, and blame the upstream only if it may have failed

Callers saw connection-lost (205) with the reason `lost` for everything: a connection that broke, a timeout, an answer that was too large, an instance that refused a session value, and bytes that no request waits for. Each of them asked the control part for a probe, closed the idle connections as "suspect" and could open the circuit breaker, although in the last three cases the upstream has just answered.

`ConnEvent::Lost` now carries a `LossReason`, which event 205 and the new counter `caraway_lost_connections_total` write. Only `lost` and `timed-out` suggest that the upstream has failed; after the others the request ends as before (not run, run elsewhere, may have run), and nothing else is closed or counted.

A query on a connection out of step has an error of its own. A status is asked again at once on a new connection; other queries fail as broken, since the first one may still be carried out after a second one.

The random events of owner_chaos draw the reason too.

--- a/crates/decide/src/conn.rs
+++ b/crates/decide/src/conn.rs
@@ -25,15 +25,62 @@
         /// The answer and the statuses around it.
         outcome: RunOutcome,
     },
-    /// The connection broke, or its request timed out.
+    /// The connection is of no more use.
     Lost {
         /// The connection's number.
         conn: ConnId,
         /// Whether any byte of the running request was sent.
         request_sent: bool,
+        /// Why it is of no more use.
+        reason: LossReason,
     },
 }
 
+/// Why a pooled connection is of no more use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossReason {
+    /// It broke, or the upstream has closed it.
+    Broken,
+    /// Its request was not answered in time.
+    TimedOut,
+    /// The upstream's answers can't be matched to requests any more.
+    OutOfStep,
+    /// The upstream has refused what prepares the connection for a session's request.
+    SetupRefused,
+    /// An answer is too large to be passed on, so the rest of it is still to come.
+    AnswerTooLarge,
+}
+
+impl LossReason {
+    /// Returns every reason.
+    pub const fn all() -> [Self; 5] {
+        [
+            Self::Broken,
+            Self::TimedOut,
+            Self::OutOfStep,
+            Self::SetupRefused,
+            Self::AnswerTooLarge,
+        ]
+    }
+
+    /// Returns the reason as log lines and metrics write it.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Broken => "lost",
+            Self::TimedOut => "timed-out",
+            Self::OutOfStep => "out-of-step",
+            Self::SetupRefused => "setup-refused",
+            Self::AnswerTooLarge => "answer-too-large",
+        }
+    }
+
+    /// Returns whether the loss suggests that the upstream has failed: if it has answered, then
+    /// only this connection is unusable.
+    pub const fn suggests_upstream_failure(self) -> bool {
+        matches!(self, Self::Broken | Self::TimedOut)
+    }
+}
+
 /// Why an upstream rejected a request without running it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpstreamRejection {
--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -203,7 +203,8 @@
             ConnEvent::Lost {
                 conn,
                 request_sent: sent,
-            } => upstream.on_conn_lost(cx, shared, conn, sent),
+                reason,
+            } => upstream.on_conn_lost(cx, shared, conn, sent, reason),
         }
         upstream.reconcile(cx, shared);
     }
--- a/crates/decide/src/owner/conn_events.rs
+++ b/crates/decide/src/owner/conn_events.rs
@@ -10,7 +10,7 @@
 use model::{Answer, ConnId, HostId, Refusal, Role, TxStatus, Verdict};
 
 use crate::Cx;
-use crate::conn::{RunOutcome, UpstreamRejection};
+use crate::conn::{LossReason, RunOutcome, UpstreamRejection};
 use crate::group::GroupMsg;
 use crate::owner::SharedState;
 use crate::owner::job::{Job, Pin, RunningJob};
@@ -76,22 +76,26 @@
         cx.send_control(&host, msg);
     }
 
-    /// Drops a connection that broke or whose request timed out, and resolves its request.
+    /// Drops a connection that is of no more use, and resolves its request.
     pub(crate) fn on_conn_lost(
         &mut self,
         cx: &mut Cx<'_>,
         shared: &mut SharedState,
         conn: ConnId,
         sent: bool,
+        reason: LossReason,
     ) {
-        self.drop_lost_conn(cx, shared, conn, "lost");
-        self.request_probe(cx);
+        self.drop_lost_conn(cx, shared, conn, reason.as_str());
+        if reason.suggests_upstream_failure() {
+            self.request_probe(cx);
+        }
         let pinned = self.pins.remove(&conn).is_some();
         if pinned {
             self.refuse_pinned(cx, conn, "connection-lost");
         }
         if let Some(running) = self.running.remove(&conn) {
-            self.resolve_lost_job(cx, shared, running, sent, pinned);
+            let blame = reason.suggests_upstream_failure();
+            self.resolve_lost_job(cx, shared, running, sent, pinned, blame);
         }
     }
 
@@ -116,16 +120,16 @@
             };
             let pinned = self.pins.remove(&conn).is_some();
             self.close_conn(cx, shared, conn, "silent");
-            self.resolve_lost_job(cx, shared, running, true, pinned);
+            self.resolve_lost_job(cx, shared, running, true, pinned, true);
         }
     }
 
     /// Retries, bounces or answers a request whose connection is lost.
     ///
-    /// Also closes the connections that have been idle since before the request started, as they
-    /// may be broken too. The loss counts as a failure of the upstream if no request has been
-    /// answered since the start of this one, unless it only ran into its deadline before
-    /// `silent_after` had passed.
+    /// If the upstream may be to blame, also closes the connections that have been idle since before
+    /// the request started, as they may be broken too. The loss then counts as a failure of the
+    /// upstream if no request has been answered since the start of this one, unless it only ran into
+    /// its deadline before `silent_after` had passed.
     fn resolve_lost_job(
         &mut self,
         cx: &mut Cx<'_>,
@@ -133,20 +137,23 @@
         running: RunningJob,
         sent: bool,
         pinned: bool,
+        blame_upstream: bool,
     ) {
         let took = cx.now.duration_since(running.started_at);
         let workspace = running.job.run.req.workspace.clone();
         self.queue
             .record_service_time(&workspace, running.charge, took);
-        for conn in self.pool.remove_idle_since(running.started_at) {
-            self.close_conn(cx, shared, conn, "suspect");
-        }
-        let no_answer_since_start = self.last_answer_at.is_none_or(|at| at < running.started_at);
-        let before_deadline = cx.now < running.job.deadline;
-        if no_answer_since_start
-            && (before_deadline || took >= cx.settings.owner.breaker.silent_after)
-        {
-            self.record_failure(cx);
+        if blame_upstream {
+            for conn in self.pool.remove_idle_since(running.started_at) {
+                self.close_conn(cx, shared, conn, "suspect");
+            }
+            let answered = self
+                .last_answer_at
+                .is_some_and(|at| at >= running.started_at);
+            let before_deadline = cx.now < running.job.deadline;
+            if !answered && (before_deadline || took >= cx.settings.owner.breaker.silent_after) {
+                self.record_failure(cx);
+            }
         }
         if running.caller_gone {
             return;
--- a/crates/decide/tests/owner_chaos/mod.rs
+++ b/crates/decide/tests/owner_chaos/mod.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use decide::conn::{ConnEvent, RunOutcome};
+use decide::conn::{ConnEvent, LossReason, RunOutcome};
 use decide::event::ProbeResult;
 use decide::queue::Drr;
 use decide::relay::RunRequest;
@@ -234,6 +234,7 @@
                 ConnEvent::Lost {
                     conn,
                     request_sent: false,
+                    reason: self.random_loss(),
                 }
             }
             (true, Some(id)) => {
@@ -247,6 +248,11 @@
         self.finishing_request = None;
     }
 
+    fn random_loss(&mut self) -> LossReason {
+        let reasons = LossReason::all();
+        reasons[self.rng.random_range(0..reasons.len())]
+    }
+
     /// Ends the request on a connection with a random outcome.
     fn random_outcome(&mut self, conn: ConnId, id: u64) -> ConnEvent {
         let sent = &mut self.requests[id as usize];
@@ -259,6 +265,7 @@
             return ConnEvent::Lost {
                 conn,
                 request_sent: sent,
+                reason: self.random_loss(),
             };
         }
         let state = self.conns.get_mut(&conn).unwrap();
--- a/crates/decide/tests/owner_harness/mod.rs
+++ b/crates/decide/tests/owner_harness/mod.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use decide::conn::{ConnEvent, RunOutcome};
+use decide::conn::{ConnEvent, LossReason, RunOutcome};
 use decide::event::ProbeResult;
 use decide::group::GroupMsg;
 use decide::owner::OwnedUpstreams;
@@ -284,6 +284,10 @@
             "lost" => ConnEvent::Lost {
                 conn,
                 request_sent: line.has_flag("sent"),
+                reason: match line.get_or("reason", "lost") {
+                    "out-of-step" => LossReason::OutOfStep,
+                    _ => LossReason::Broken,
+                },
             },
             _ => ConnEvent::Done {
                 conn,
--- a/crates/host/src/adapter.rs
+++ b/crates/host/src/adapter.rs
@@ -16,7 +16,7 @@
 use decide::authority::{PromotionError, PromotionOrder};
 use decide::call::{Call, Reply};
 use decide::caller::{CallerEvent, Login};
-use decide::conn::RunOutcome;
+use decide::conn::{LossReason, RunOutcome};
 use decide::upstream_query::{QueryError, QueryReply, UpstreamQuery};
 use model::{
     Answer, CONTROL_PART, PartId, Position, Refusal, Request, RequestId, ServiceId, SessionId,
@@ -70,30 +70,59 @@
 
 /// An open connection to an upstream, which runs one request or query at a time.
 pub trait UpstreamConn {
-    /// Runs a request; `None` means that no whole answer came and the connection is of no more use:
-    /// it broke, or the answer is larger than `limit` bytes.
+    /// Runs a request and returns its answer, of at most `limit` bytes.
     ///
     /// `sent` is set before the first byte is sent that could make the request run: while it is
     /// false, the request has certainly not run.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer that is certainly the request's own; the connection is then
+    /// of no more use.
     fn run(
         &mut self,
         job: &RunJob,
         limit: usize,
         sent: &mut bool,
-    ) -> impl Future<Output = Option<RunOutcome>>;
+    ) -> impl Future<Output = Result<RunOutcome, LossReason>>;
 
     /// Sends a query and returns the upstream's reply.
     ///
     /// # Errors
     ///
-    /// Fails if the connection breaks or the upstream refuses.
+    /// Fails if the connection breaks, the upstream refuses, or the reply may be another query's.
     fn query(
         &mut self,
         query: &UpstreamQuery,
-    ) -> impl Future<Output = Result<QueryReply, QueryError>>;
+    ) -> impl Future<Output = Result<QueryReply, ConnQueryError>>;
+
+    /// Waits until the idle connection is of no more use, and returns why; loses no bytes if the
+    /// future is dropped.
+    fn closed(&mut self) -> impl Future<Output = LossReason>;
+}
+
+/// Why a query on an open connection got no reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnQueryError {
+    /// The query failed.
+    Failed(QueryError),
+    /// The upstream answers, but its answers can't be matched to queries any more.
+    OutOfStep,
+}
 
-    /// Waits until the upstream closes the idle connection.
-    fn closed(&mut self) -> impl Future<Output = ()>;
+impl From<QueryError> for ConnQueryError {
+    fn from(error: QueryError) -> Self {
+        Self::Failed(error)
+    }
+}
+
+impl From<ConnQueryError> for QueryError {
+    fn from(error: ConnQueryError) -> Self {
+        match error {
+            ConnQueryError::Failed(error) => error,
+            ConnQueryError::OutOfStep => Self::Broken,
+        }
+    }
 }
 
 /// The upstream that a new connection goes to.
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The metrics of a host, as atomics that every thread can update without a lock.
 
+use decide::conn::LossReason;
 use decide::upstream_query::UpstreamQuery;
 use model::{HashMap, Kind, Refusal, Role, Verdict};
 use prometheus_client::encoding::text::encode;
@@ -61,6 +62,7 @@
     requests: Counters<3>,
     refusals: Counters<2>,
     queries: Counters<1>,
+    lost_connections: Counters<1>,
     /// The number of sessions of callers, counted from their login.
     pub(crate) sessions: Gauge,
     /// The number of open pooled connections.
@@ -88,6 +90,9 @@
         let queries = Family::default();
         let help = "Queries asked of upstreams, by kind";
         registry.register("upstream_queries", help, queries.clone());
+        let lost_connections = Family::default();
+        let help = "Pooled connections that became unusable, by reason";
+        registry.register("lost_connections", help, lost_connections.clone());
         let links_down = Counter::default();
         let help = "Broken links to other hosts, counted by each thread that learns of it";
         registry.register("links_down", help, links_down.clone());
@@ -109,6 +114,10 @@
             requests: look_up_counters(&requests, request_labels()),
             refusals: look_up_counters(&refusals, refusal_labels()),
             queries: look_up_counters(&queries, QUERIES.map(query_label)),
+            lost_connections: look_up_counters(
+                &lost_connections,
+                LossReason::all().map(loss_label),
+            ),
             registry,
         }
     }
@@ -144,6 +153,11 @@
         increment(&self.queries, &query_label(kind));
     }
 
+    /// Counts a pooled connection that became unusable.
+    pub(crate) fn count_lost_connection(&self, reason: LossReason) {
+        increment(&self.lost_connections, &loss_label(reason));
+    }
+
     /// Returns whether the host can serve callers: its configuration is usable and it isn't leaving.
     pub(crate) fn is_ready(&self) -> bool {
         self.config_usable.get() == 1 && self.leaving.get() == 0
@@ -174,6 +188,10 @@
     }
 }
 
+fn loss_label(reason: LossReason) -> [Label; 1] {
+    [("reason", reason.as_str())]
+}
+
 fn query_label(kind: &'static str) -> [Label; 1] {
     [("kind", kind)]
 }
--- a/crates/host/src/metrics_recorder.rs
+++ b/crates/host/src/metrics_recorder.rs
@@ -47,7 +47,9 @@
         match event {
             Event::Caller(event) => self.on_caller_event(event),
             Event::Conn(ConnEvent::Opened { conn }) => self.on_conn_opened(*conn),
-            Event::Conn(ConnEvent::OpenFailed { conn, .. } | ConnEvent::Lost { conn, .. }) => {
+            Event::Conn(ConnEvent::OpenFailed { conn, .. }) => self.on_conn_closed(*conn),
+            Event::Conn(ConnEvent::Lost { conn, reason, .. }) => {
+                self.metrics.count_lost_connection(*reason);
                 self.on_conn_closed(*conn);
             }
             Event::LinkDown(_) => {
--- a/crates/host/src/pg_adapter.rs
+++ b/crates/host/src/pg_adapter.rs
@@ -3,18 +3,20 @@
 use std::time::Duration;
 
 use decide::authority::{PromotionError, PromotionOrder};
-use decide::conn::{RunOutcome, UpstreamRejection};
+use decide::conn::{LossReason, RunOutcome, UpstreamRejection};
 use decide::upstream_query::{QueryError, QueryReply, UpstreamQuery};
 use futures::{SinkExt, StreamExt};
 use model::Claim;
+use pg::codec::CodecError;
 use pg::status_row::{StatusRow, parse_status_row, status_sql};
-use pg::upstream::{AnswerCollector, encode_query, encode_run};
+use pg::upstream::{AnswerCollector, AnswerError, encode_query, encode_run};
 use pgwire::messages::PgWireBackendMessage;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::adapter::{
-    Adapter, CallSender, CallerChannel, LoginError, RunJob, UpstreamConn, UpstreamTarget,
+    Adapter, CallSender, CallerChannel, ConnQueryError, LoginError, RunJob, UpstreamConn,
+    UpstreamTarget,
 };
 use crate::pg_caller::PgCaller;
 use crate::pg_upstream::{UpstreamStream, login};
@@ -64,15 +66,23 @@
 }
 
 impl UpstreamConn for PgConn {
-    async fn run(&mut self, job: &RunJob, limit: usize, sent: &mut bool) -> Option<RunOutcome> {
-        let bytes = encode_run(&job.payload, job.wait_for, job.want_status).ok()?;
+    async fn run(
+        &mut self,
+        job: &RunJob,
+        limit: usize,
+        sent: &mut bool,
+    ) -> Result<RunOutcome, LossReason> {
+        let bytes = encode_run(&job.payload, job.wait_for, job.want_status)
+            .map_err(|_| LossReason::Broken)?;
         *sent = true;
-        self.stream.send(bytes).await.ok()?;
+        let broken = |_: CodecError| LossReason::Broken;
+        self.stream.send(bytes).await.map_err(broken)?;
         let mut collector = AnswerCollector::new(job.wait_for.is_some(), job.want_status, limit);
         loop {
-            let msg = self.stream.next().await?.ok()?;
-            if let Some(collected) = collector.on_message(msg).ok()? {
-                return Some(RunOutcome {
+            let msg = self.stream.next().await.ok_or(LossReason::Broken)?;
+            let collected = collector.on_message(msg.map_err(broken)?);
+            if let Some(collected) = collected.map_err(loss_reason)? {
+                return Ok(RunOutcome {
                     payload: collected.payload,
                     tx: collected.tx,
                     rejected: collected
@@ -86,7 +96,7 @@
         }
     }
 
-    async fn query(&mut self, query: &UpstreamQuery) -> Result<QueryReply, QueryError> {
+    async fn query(&mut self, query: &UpstreamQuery) -> Result<QueryReply, ConnQueryError> {
         let sql = query_sql(query).ok_or(QueryError::Refused)?;
         let bytes = encode_query(&sql).map_err(|_| QueryError::Refused)?;
         self.stream
@@ -108,9 +118,17 @@
         Ok(query_reply(query, row))
     }
 
-    async fn closed(&mut self) {
+    async fn closed(&mut self) -> LossReason {
         // Skips notices that arrive between requests.
         while matches!(self.stream.next().await, Some(Ok(_))) {}
+        LossReason::Broken
+    }
+}
+
+fn loss_reason(error: AnswerError) -> LossReason {
+    match error {
+        AnswerError::TooLarge { .. } => LossReason::AnswerTooLarge,
+        _ => LossReason::Broken,
     }
 }
 
--- a/crates/host/src/pooled_conn.rs
+++ b/crates/host/src/pooled_conn.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use decide::Event;
-use decide::conn::ConnEvent;
+use decide::conn::{ConnEvent, LossReason};
 use model::{ConnId, PartId};
 use tokio::sync::mpsc;
 
@@ -38,8 +38,8 @@
     loop {
         let job = tokio::select! {
             job = jobs.recv() => job,
-            () = upstream.closed() => {
-                report(ConnEvent::Lost { conn, request_sent: false });
+            reason = upstream.closed() => {
+                report(ConnEvent::Lost { conn, request_sent: false, reason });
                 return;
             }
         };
@@ -49,12 +49,13 @@
         let mut sent = false;
         let run = upstream.run(&job, cfg.max_answer_bytes, &mut sent);
         let outcome = tokio::time::timeout(job.timeout, run).await;
-        match outcome.ok().flatten() {
-            Some(outcome) => report(ConnEvent::Done { conn, outcome }),
-            None => {
+        match outcome.unwrap_or(Err(LossReason::TimedOut)) {
+            Ok(outcome) => report(ConnEvent::Done { conn, outcome }),
+            Err(reason) => {
                 report(ConnEvent::Lost {
                     conn,
                     request_sent: sent,
+                    reason,
                 });
                 return;
             }
--- a/crates/host/src/upstream_query.rs
+++ b/crates/host/src/upstream_query.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
-use crate::adapter::{Adapter, UpstreamConn, UpstreamTarget};
+use crate::adapter::{Adapter, ConnQueryError, UpstreamConn, UpstreamTarget};
 use crate::inbox::Inboxes;
 use crate::settings::UpstreamSettings;
 
@@ -62,7 +62,16 @@
             Some(open) => open,
             None => A::connect(&job.target, cfg, job.timeout).await?,
         };
-        conn.insert(open).query(&job.query).await
+        let result = conn.insert(open).query(&job.query).await;
+        // Only a query without an effect may be sent twice: the first one may run after the second.
+        if result == Err(ConnQueryError::OutOfStep)
+            && matches!(job.query, UpstreamQuery::Status { .. })
+        {
+            *conn = None;
+            let open = A::connect(&job.target, cfg, job.timeout).await?;
+            return Ok(conn.insert(open).query(&job.query).await?);
+        }
+        Ok(result?)
     };
     let result = tokio::time::timeout(job.timeout, connect_and_query).await;
     let timeout_error = if was_open {
