pg adapter: end an idle connection that gets an answer no request waits for

Notices, parameters and notifications, which a server may send at any time, are still skipped; an error there announces the end of the connection.

Ruled out: real PostgreSQL servers are not known to do so; the markers of the line protocol aren't needed here, as no stuttering upstream of this kind is reported.

--- a/crates/host/src/pg_adapter.rs
+++ b/crates/host/src/pg_adapter.rs
@@ -119,9 +119,21 @@
     }
 
     async fn closed(&mut self) -> LossReason {
-        // Skips notices that arrive between requests.
-        while matches!(self.stream.next().await, Some(Ok(_))) {}
-        LossReason::Broken
+        loop {
+            match self.stream.next().await {
+                // An upstream may send these at any time.
+                Some(Ok(
+                    PgWireBackendMessage::NoticeResponse(_)
+                    | PgWireBackendMessage::ParameterStatus(_)
+                    | PgWireBackendMessage::NotificationResponse(_),
+                )) => {}
+                // It says so before it ends a connection.
+                Some(Ok(PgWireBackendMessage::ErrorResponse(_)) | Err(_)) | None => {
+                    return LossReason::Broken;
+                }
+                Some(Ok(_)) => return LossReason::OutOfStep,
+            }
+        }
     }
 }
 
