authority: check the answers of hosts again before an order is sent

What callers would see: an acknowledged commit that the promoted instance lacks (LOST). Cause: between the choice of a successor and the number of its order, a host that was silent for 400 ms may report a higher position, and a host may come that was never asked; neither was looked at again. The wait also counted from the start of the stop, so a host that was first asked later wasn't waited for. Change: the wait counts for each part from when it was asked, and an order is sent only if the chosen instance still covers all that was passed on.

--- a/crates/decide/src/authority/ack_stop.rs
+++ b/crates/decide/src/authority/ack_stop.rs
@@ -34,6 +34,8 @@
     incarnation: Incarnation,
     /// Whether it has answered the last request.
     has_answered: bool,
+    /// Since when it has been asked to stop in this phase; `None` if it wasn't yet.
+    asked_since: Option<Instant>,
     /// When it was last asked to stop.
     stop_asked_at: Option<Instant>,
     next_request_at: Instant,
@@ -46,7 +48,7 @@
     #[default]
     Passing,
     /// To stop acknowledgements of this term and of earlier ones.
-    Stopping { term: Term, since: Instant },
+    Stopping { term: Term },
     /// To pass on acknowledgements again.
     Allowing,
 }
@@ -86,6 +88,7 @@
             let new = || StoppedPart {
                 incarnation,
                 has_answered: false,
+                asked_since: None,
                 stop_asked_at: None,
                 next_request_at: now,
             };
@@ -105,6 +108,7 @@
         self.is_logged = false;
         for part in self.parts.values_mut() {
             part.has_answered = false;
+            part.asked_since = None;
             part.next_request_at = now;
         }
     }
@@ -112,13 +116,23 @@
     /// Returns whether each part has answered, or has been waited for long enough.
     pub(crate) fn is_settled(&self, now: Instant) -> bool {
         match self.phase {
-            AckPhase::Stopping { since, .. } => {
-                self.silent_parts() == 0 || now >= since + ANSWER_WAIT
+            AckPhase::Stopping { .. } => {
+                let waited = |since: Instant| now >= since + ANSWER_WAIT;
+                let mut parts = self.parts.values();
+                parts.all(|part| part.has_answered || part.asked_since.is_some_and(waited))
             }
             AckPhase::Passing | AckPhase::Allowing => true,
         }
     }
 
+    /// Returns whether an instance with this position may be ordered to lead: it has all that was
+    /// passed on, or what it lacks has been waited for.
+    pub(crate) fn covers(&self, now: Instant, position: Position) -> bool {
+        let given_up = |since: Instant| now >= since + MISSING_WRITES_WAIT;
+        self.is_settled(now)
+            && (position >= self.passed_on || self.missing_since.is_some_and(given_up))
+    }
+
     fn silent_parts(&self) -> usize {
         let parts = self.parts.values();
         parts.filter(|part| !part.has_answered).count()
@@ -138,7 +152,8 @@
             let (service, round) = (service.clone(), self.round);
             let msg = match self.phase {
                 AckPhase::Passing => continue,
-                AckPhase::Stopping { term, .. } => {
+                AckPhase::Stopping { term } => {
+                    part.asked_since.get_or_insert(now);
                     part.stop_asked_at = Some(now);
                     AckStopMsg::Stop {
                         service,
@@ -225,10 +240,9 @@
             let stops = &mut self.ack_stops;
             stops.round += 1;
             stops.attempt = self.attempt_number;
-            let since = cx.now;
-            stops.start_phase(AckPhase::Stopping { term, since }, since);
+            stops.start_phase(AckPhase::Stopping { term }, cx.now);
         }
-        if let AckPhase::Stopping { term, .. } = self.ack_stops.phase
+        if let AckPhase::Stopping { term } = self.ack_stops.phase
             && self.is_idle()
             && !self.order_in_doubt
         {
@@ -282,7 +296,7 @@
     }
 
     fn log_stopped_acks(&mut self, cx: &mut Cx<'_>) {
-        let AckPhase::Stopping { term, .. } = self.ack_stops.phase else {
+        let AckPhase::Stopping { term } = self.ack_stops.phase else {
             return;
         };
         if self.ack_stops.is_logged || !self.ack_stops.is_settled(cx.now) {
--- a/crates/decide/src/authority/failover.rs
+++ b/crates/decide/src/authority/failover.rs
@@ -134,9 +134,7 @@
             member.is_some_and(|m| !m.announcement.draining && !m.announcement.warming)
         };
         let in_doubt = |id: &UpstreamId| self.instance_in_doubt.as_ref() == Some(id);
-        // No write is acknowledged above the position of a primary that was demoted.
-        let primary_is_fenced = self.primary_is_demoted()
-            && (self.primary.as_ref()).is_some_and(|(_, id)| fenced.contains_key(id));
+        let primary_is_fenced = self.has_fenced_primary(&fenced);
         let uncertain: Vec<&UpstreamId> = fenced
             .keys()
             .filter(|id| !primary_is_fenced && self.fence_may_end(cx.now, id))
@@ -177,6 +175,13 @@
         self.request_order(cx, outbox, &chosen, fenced);
     }
 
+    /// Returns whether the primary was demoted and fenced, so that no write is acknowledged above
+    /// its position.
+    fn has_fenced_primary(&self, fenced: &BTreeMap<UpstreamId, (Position, u64)>) -> bool {
+        let primary = self.primary.as_ref();
+        self.primary_is_demoted() && primary.is_some_and(|(_, id)| fenced.contains_key(id))
+    }
+
     /// Queues the order to promote an instance, and waits for its number.
     pub(crate) fn request_order(
         &mut self,
@@ -198,8 +203,8 @@
         };
     }
 
-    /// Sends the numbered order to the platform, unless a fenced replica has restarted or a
-    /// replica that isn't fenced has appeared since the choice.
+    /// Sends the numbered order to the platform, unless a fenced replica has restarted, a replica
+    /// that isn't fenced has appeared, or a host has passed on more writes since the choice.
     pub(crate) fn on_order_number(
         &mut self,
         cx: &mut Cx<'_>,
@@ -228,6 +233,13 @@
         {
             return self.end_attempt_without_order(cx, outbox, "restarted");
         }
+        let position = fenced.get(chosen).map(|(position, _)| *position);
+        let leads =
+            self.primary_is_active() && self.primary.as_ref().is_some_and(|(_, id)| id == chosen);
+        let needs_stop = !leads && !self.has_fenced_primary(fenced);
+        if needs_stop && !position.is_some_and(|at| self.ack_stops.covers(cx.now, at)) {
+            return self.end_attempt_without_order(cx, outbox, "answered-late");
+        }
         self.ordered_to_lead.insert(chosen.clone());
         cx.log(AuthorityLogEvent::PromotionOrdered {
             service: self.name.clone(),
--- a/crates/decide/tests/authority_world/mod.rs
+++ b/crates/decide/tests/authority_world/mod.rs
@@ -10,10 +10,12 @@
 use std::time::{Duration, Instant};
 
 use decide::authority::{AuthorityKind, PromotionOrder, QuorumAuthority};
+use decide::owner::ack_gate::AckStopMsg;
+use decide::raft::PromotionTicket;
 use decide::spread::Fact;
 use decide::upstream_query::{QueryError, QueryReply, UpstreamQuery};
 use decide::view::{ServiceView, UpstreamView};
-use decide::{Cx, Effect, Event, Settings, View};
+use decide::{Cx, Effect, Event, Msg, Settings, View};
 use model::{Announcement, HostInfo, InstanceStatus, Position, Role, Term, UpstreamId};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -85,6 +87,13 @@
     pub(crate) last_order_number: u64,
     /// Instances that have withdrawn their announcements.
     pub(crate) withdrawn: Vec<&'static str>,
+    /// Whether entry host `entry-1` is alive, which answers no request to stop acknowledgements.
+    pub(crate) has_silent_entry_host: bool,
+    /// The number of the last request to stop acknowledgements.
+    pub(crate) last_stop_round: u64,
+    /// Whether tickets are kept instead of being committed.
+    pub(crate) holds_tickets: bool,
+    pub(crate) held_tickets: Vec<PromotionTicket>,
     /// Answers of instances and platform that the authority has not received yet.
     pub(crate) pending_replies: VecDeque<Event>,
 }
@@ -120,6 +129,10 @@
             promotion_ends_fences: false,
             last_order_number: 100,
             withdrawn: Vec::new(),
+            has_silent_entry_host: false,
+            last_stop_round: 0,
+            holds_tickets: false,
+            held_tickets: Vec::new(),
             pending_replies: VecDeque::new(),
         };
         world.run_authority(|authority, cx| authority.set_leader(cx, true));
@@ -160,6 +173,16 @@
             group_size: 0,
         };
         view.services.insert("pots".into(), service);
+        if self.has_silent_entry_host {
+            let host = HostInfo {
+                host: "entry-1".into(),
+                is_entry_host: true,
+                is_control_host: false,
+                traffic_parts: 1,
+                ..self.me.clone()
+            };
+            view.hosts.insert("entry-1".into(), host);
+        }
         view
     }
 
@@ -211,6 +234,10 @@
                             .push_back(Event::PromotionAnswered { order, result });
                     }
                 }
+                Effect::Send {
+                    msg: Msg::AckStop(AckStopMsg::Stop { round, .. }),
+                    ..
+                } => self.last_stop_round = round,
                 _ => {}
             }
         }
@@ -288,6 +315,10 @@
                     _ => {}
                 }
                 for ticket in self.authority.take_tickets() {
+                    if self.holds_tickets {
+                        self.held_tickets.push(ticket);
+                        continue;
+                    }
                     self.last_order_number += 1;
                     let number = self.last_order_number;
                     self.run_authority(|a, cx| a.on_order_number(cx, number, &ticket));
