owner: acknowledge no commit without a position during a stop

What callers would see: an acknowledged commit that the promoted instance lacks. Cause: a commit whose answer carries no position passed the gate. Evidence: a_commit_without_a_position_is_not_acknowledged_during_a_stop fails before: left: Ran, right: MayHaveRun. Change: without a position the term is unknown, and any stop applies.

--- a/crates/decide/src/owner/ack_gate.rs
+++ b/crates/decide/src/owner/ack_gate.rs
@@ -78,7 +78,14 @@
 
 impl AckGate {
     /// Returns whether the commit at a position may be acknowledged, and records it if so.
-    pub fn pass_on(&mut self, now: Instant, service: &ServiceId, position: Position) -> bool {
+    ///
+    /// Without a position its term is unknown, so any stop applies to it.
+    pub fn pass_on(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        position: Option<Position>,
+    ) -> bool {
         if !self.services.contains_key(service) {
             self.services
                 .insert(service.clone(), ServiceAcks::default());
@@ -87,10 +94,11 @@
             return true;
         };
         let mut stops = acks.stops.iter();
-        if stops.any(|stop| now < stop.until && position.term <= stop.term) {
+        let applies = |stop: &Stop| position.is_none_or(|at| at.term <= stop.term);
+        if stops.any(|stop| now < stop.until && applies(stop)) {
             return false;
         }
-        acks.passed_on = acks.passed_on.max(position);
+        acks.passed_on = acks.passed_on.max(position.unwrap_or_default());
         true
     }
 
--- a/crates/decide/src/owner/conn_events.rs
+++ b/crates/decide/src/owner/conn_events.rs
@@ -260,8 +260,9 @@
             }
             Ok(())
                 if commits
-                    && let Some(position) = outcome.position
-                    && !shared.ack_gate.pass_on(cx.now, &self.service, position) =>
+                    && !shared
+                        .ack_gate
+                        .pass_on(cx.now, &self.service, outcome.position) =>
             {
                 running.job.answer_may_have_run(cx);
             }
--- a/crates/decide/tests/authority_model/fleet.rs
+++ b/crates/decide/tests/authority_model/fleet.rs
@@ -134,7 +134,7 @@
 impl Host {
     /// Returns whether it passes the acknowledgement of a commit on to the caller.
     pub(crate) fn passes_on(&mut self, now: Instant, position: Position) -> bool {
-        self.ack_gate.pass_on(now, &"pots".into(), position)
+        self.ack_gate.pass_on(now, &"pots".into(), Some(position))
     }
 }
 
--- a/crates/decide/tests/stopped_acks.rs
+++ b/crates/decide/tests/stopped_acks.rs
@@ -53,7 +53,12 @@
     }
 
     /// Runs a request, and returns the verdict and the connection that a transaction keeps.
-    fn run(&mut self, tx: TxStatus, position: Position) -> (Verdict, Option<ConnId>) {
+    fn run(
+        &mut self,
+        tx: TxStatus,
+        position: impl Into<Option<Position>>,
+    ) -> (Verdict, Option<ConnId>) {
+        let position = position.into();
         let from = entry_part();
         self.run.id += 1;
         let msg = Msg::Relay(RelayMsg::Run(Box::new(self.run.clone())));
@@ -71,7 +76,7 @@
                             payload: Bytes::new(),
                             tx,
                             rejected: None,
-                            position: Some(position),
+                            position,
                             status_before: None,
                             status_after: None,
                         };
@@ -189,3 +194,12 @@
     let verdict = owner.commit_transaction(Kind::Write, 8);
     assert_eq!(verdict, Verdict::MayHaveRun);
 }
+
+/// Guards against a lost commit whose answer doesn't say where it stands in the log.
+#[test]
+fn a_commit_without_a_position_is_not_acknowledged_during_a_stop() {
+    let mut owner = Owner::new();
+    assert_eq!(owner.run(TxStatus::Idle, None).0, Verdict::Ran);
+    owner.tell("control-1", stop(1, 1));
+    assert_eq!(owner.run(TxStatus::Idle, None).0, Verdict::MayHaveRun);
+}
