authority: share one table of traffic parts between services

Cause: each control host rebuilt the list of all traffic parts for each service and each view (AckStops::sync), and each step and each look for the next wake-up walked those lists, also while nothing was stopped.

Change: QuorumAuthority keeps one table of parts (ack_parts), which it compares with a view only if the view's hosts have another revision; a service holds parts from a request to stop until the stop has ended, and walks them only when a request is due.

--- a/crates/decide/src/authority.rs
+++ b/crates/decide/src/authority.rs
@@ -11,6 +11,7 @@
 //! The platform runs the database instances and carries out the orders.
 
 pub(crate) mod account;
+pub(crate) mod ack_parts;
 pub(crate) mod ack_stop;
 pub(crate) mod confirmers;
 pub(crate) mod failover;
@@ -26,6 +27,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use crate::authority::account::{Account, AccountedInstance};
+use crate::authority::ack_parts::TrafficParts;
 pub use crate::authority::instance::EndEvidence;
 pub use crate::authority::log_event::AuthorityLogEvent;
 use crate::authority::service::MonitoredService;
@@ -142,6 +144,8 @@
 pub struct QuorumAuthority {
     outbox: Outbox,
     services: BTreeMap<ServiceId, MonitoredService>,
+    /// The traffic parts that may pass on acknowledgements, of whatever service.
+    parts: TrafficParts,
     is_leader: bool,
 }
 
@@ -167,15 +171,18 @@
         view: &View,
         has_withdrawn: impl Fn(&UpstreamId) -> bool,
     ) {
+        let change = self.parts.sync(view);
+        for service in self.services.values_mut() {
+            let stops = &mut service.ack_stops;
+            stops.on_parts_changed(&self.parts, &change, cx.now);
+        }
         for (name, service_view) in &view.services {
             let service = self.services.entry(name.clone());
             let service = service.or_insert_with(|| MonitoredService::new(name.clone(), cx.now));
-            service.ack_stops.sync(view, cx.now);
             service.sync(cx, view, service_view, &has_withdrawn);
         }
         for (name, service) in &mut self.services {
             if !view.services.contains_key(name) {
-                service.ack_stops.sync(view, cx.now);
                 service.sync_unannounced(cx, view, &has_withdrawn);
             }
         }
@@ -196,6 +203,7 @@
             && self.is_leader
         {
             service.on_query_reply(cx, &mut self.outbox, &query, result);
+            service.advance_ack_stops(cx, &self.parts);
         }
     }
 
@@ -259,6 +267,7 @@
         }
         for service in self.services.values_mut() {
             service.step(cx, &mut self.outbox);
+            service.advance_ack_stops(cx, &self.parts);
         }
     }
 
--- a/crates/decide/src/authority/ack_stop.rs
+++ b/crates/decide/src/authority/ack_stop.rs
@@ -8,12 +8,13 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use model::{FIRST_TRAFFIC_PART, Incarnation, PartAddr, Position, Role, ServiceId, Term};
+use model::{Incarnation, PartAddr, Position, Role, ServiceId, Term};
 
+use crate::Cx;
+use crate::authority::ack_parts::{self, PartsChange, TrafficParts};
 use crate::authority::service::{FailoverStage, MonitoredService};
 use crate::authority::{AuthorityLogEvent, Outbox};
 use crate::owner::ack_gate::{AckStopMsg, STOP_TIME};
-use crate::{Cx, View};
 
 /// How long an attempt waits for parts that don't answer.
 const ANSWER_WAIT: Duration = Duration::from_millis(400);
@@ -28,14 +29,10 @@
 /// Interval at which a stop that is in force is renewed.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(5);
 
-/// A traffic part, as far as its acknowledgements go.
+/// A traffic part that has been asked to stop, as far as its acknowledgements go.
 #[derive(Debug)]
 struct StoppedPart {
     incarnation: Incarnation,
-    /// Whether it has answered the last request.
-    has_answered: bool,
-    /// Since when it has been asked to stop in this phase; `None` if it wasn't yet.
-    asked_since: Option<Instant>,
     /// When it was last asked to stop.
     stop_asked_at: Option<Instant>,
     next_request_at: Instant,
@@ -53,11 +50,18 @@
     Allowing,
 }
 
-/// The traffic parts that may hold connections to the instances of a service.
+/// The requests to stop the acknowledgements of a service, and the parts' answers.
+///
+/// It holds parts only from a request to stop until the stop has ended.
 #[derive(Debug, Default)]
 pub(crate) struct AckStops {
     parts: BTreeMap<PartAddr, StoppedPart>,
+    /// The parts that have not answered the last request, with the time since which they have been
+    /// asked in this phase.
+    unanswered: BTreeMap<PartAddr, Instant>,
     phase: AckPhase,
+    /// When the next request may be due; `None` if none is.
+    next_due: Option<Instant>,
     /// Number of the last request to stop.
     round: u64,
     /// The attempt that the last request to stop belongs to.
@@ -71,55 +75,88 @@
 }
 
 impl AckStops {
-    /// Updates the parts from a new view; a part of a host that has restarted must answer again.
-    pub(crate) fn sync(&mut self, view: &View, now: Instant) {
-        let hosts = view.hosts.values().filter(|info| info.is_entry_host);
-        let parts = hosts.flat_map(|info| {
-            let parts = FIRST_TRAFFIC_PART..FIRST_TRAFFIC_PART + info.traffic_parts;
-            parts.map(|part| {
-                let host = info.host.clone();
-                (PartAddr { host, part }, info.incarnation)
-            })
-        });
-        let current: BTreeMap<PartAddr, Incarnation> = parts.collect();
-        self.parts
-            .retain(|part, known| current.get(part) == Some(&known.incarnation));
-        for (part, incarnation) in current {
-            let new = || StoppedPart {
-                incarnation,
-                has_answered: false,
-                asked_since: None,
-                stop_asked_at: None,
-                next_request_at: now,
-            };
-            self.parts.entry(part).or_insert_with(new);
+    /// Follows a change of the hosts during a stop; a part of a host that has restarted must answer
+    /// again.
+    pub(crate) fn on_parts_changed(
+        &mut self,
+        table: &TrafficParts,
+        change: &PartsChange,
+        now: Instant,
+    ) {
+        if self.phase == AckPhase::Passing {
+            return;
+        }
+        for (host, traffic_parts) in &change.gone {
+            for part in ack_parts::part_addrs(host, *traffic_parts) {
+                self.parts.remove(&part);
+                self.unanswered.remove(&part);
+            }
+        }
+        for host in &change.come {
+            for (part, incarnation) in table.of_host(host) {
+                self.add_part(part, incarnation, None, now);
+            }
         }
     }
 
+    fn add_part(
+        &mut self,
+        part: PartAddr,
+        incarnation: Incarnation,
+        stop_asked_at: Option<Instant>,
+        now: Instant,
+    ) {
+        let new = StoppedPart {
+            incarnation,
+            stop_asked_at,
+            next_request_at: now,
+        };
+        self.unanswered.insert(part.clone(), now);
+        self.parts.insert(part, new);
+        self.next_due = Some(now);
+    }
+
     /// Forgets what was asked for, after a change of leader.
     pub(crate) fn reset(&mut self) {
-        self.phase = AckPhase::Passing;
+        self.end();
         self.passed_on = Position::default();
         self.missing_since = None;
     }
 
-    fn start_phase(&mut self, phase: AckPhase, now: Instant) {
-        self.phase = phase;
+    fn start_stopping(&mut self, term: Term, table: &TrafficParts, now: Instant) {
+        let mut earlier = std::mem::take(&mut self.parts);
+        self.end();
+        for (part, incarnation) in table.iter() {
+            let stop_asked_at = earlier.remove(&part).and_then(|known| known.stop_asked_at);
+            self.add_part(part, incarnation, stop_asked_at, now);
+        }
+        self.phase = AckPhase::Stopping { term };
         self.is_logged = false;
-        for part in self.parts.values_mut() {
-            part.has_answered = false;
-            part.asked_since = None;
+    }
+
+    fn start_allowing(&mut self, now: Instant) {
+        for (addr, part) in &mut self.parts {
             part.next_request_at = now;
+            self.unanswered.insert(addr.clone(), now);
         }
+        self.next_due = Some(now);
+        self.phase = AckPhase::Allowing;
+    }
+
+    /// Ends the stop without a request to the parts, where it lapses.
+    fn end(&mut self) {
+        self.phase = AckPhase::Passing;
+        self.next_due = None;
+        self.parts.clear();
+        self.unanswered.clear();
     }
 
     /// Returns whether each part has answered, or has been waited for long enough.
     pub(crate) fn is_settled(&self, now: Instant) -> bool {
         match self.phase {
             AckPhase::Stopping { .. } => {
-                let waited = |since: Instant| now >= since + ANSWER_WAIT;
-                let mut parts = self.parts.values();
-                parts.all(|part| part.has_answered || part.asked_since.is_some_and(waited))
+                let mut unanswered = self.unanswered.values();
+                unanswered.all(|since| now >= *since + ANSWER_WAIT)
             }
             AckPhase::Passing | AckPhase::Allowing => true,
         }
@@ -133,11 +170,6 @@
             && (position >= self.passed_on || self.missing_since.is_some_and(given_up))
     }
 
-    fn silent_parts(&self) -> usize {
-        let parts = self.parts.values();
-        parts.filter(|part| !part.has_answered).count()
-    }
-
     /// Ends the wait for missing writes, since a primary leads.
     pub(crate) fn on_primary_confirmed(&mut self) {
         self.missing_since = None;
@@ -145,6 +177,9 @@
 
     fn send_due(&mut self, cx: &mut Cx<'_>, service: &ServiceId) {
         let now = cx.now;
+        if self.next_due.is_none_or(|due| now < due) {
+            return;
+        }
         for (addr, part) in &mut self.parts {
             if now < part.next_request_at {
                 continue;
@@ -153,7 +188,6 @@
             let msg = match self.phase {
                 AckPhase::Passing => continue,
                 AckPhase::Stopping { term } => {
-                    part.asked_since.get_or_insert(now);
                     part.stop_asked_at = Some(now);
                     AckStopMsg::Stop {
                         service,
@@ -163,24 +197,27 @@
                 }
                 AckPhase::Allowing => {
                     let lasts = |at: Instant| now < at + STOP_TIME;
-                    if part.has_answered || !part.stop_asked_at.is_some_and(lasts) {
-                        part.has_answered = true;
+                    let is_stopped = part.stop_asked_at.is_some_and(lasts);
+                    if !is_stopped || !self.unanswered.contains_key(addr) {
+                        self.unanswered.remove(addr);
                         part.next_request_at = now + STOP_TIME;
                         continue;
                     }
                     AckStopMsg::Allow { service, round }
                 }
             };
+            let has_answered = !self.unanswered.contains_key(addr);
             part.next_request_at = now
-                + if part.has_answered {
+                + if has_answered {
                     RENEWAL_INTERVAL
                 } else {
                     RETRY_INTERVAL
                 };
             cx.send(addr.clone(), msg);
         }
-        if self.phase == AckPhase::Allowing && self.silent_parts() == 0 {
-            self.phase = AckPhase::Passing;
+        self.next_due = self.parts.values().map(|part| part.next_request_at).min();
+        if self.phase == AckPhase::Allowing && self.unanswered.is_empty() {
+            self.end();
         }
     }
 
@@ -199,13 +236,16 @@
                 },
                 AckPhase::Stopping { .. },
             ) if *round == self.round && *incarnation == part.incarnation => {
-                part.has_answered = true;
                 part.next_request_at = cx.now + RENEWAL_INTERVAL;
+                self.unanswered.remove(from);
                 self.passed_on = self.passed_on.max(*passed_on);
             }
             (AckStopMsg::Allowed { round, .. }, AckPhase::Allowing) if *round == self.round => {
-                part.has_answered = true;
                 part.stop_asked_at = None;
+                self.unanswered.remove(from);
+                if self.unanswered.is_empty() {
+                    self.end();
+                }
             }
             _ => {}
         }
@@ -213,16 +253,14 @@
 
     /// Returns when the next request is due.
     pub(crate) fn wake_at(&self) -> Option<Instant> {
-        let is_asking = self.phase != AckPhase::Passing;
-        let parts = self.parts.values().filter(|_| is_asking);
-        parts.map(|part| part.next_request_at).min()
+        self.next_due
     }
 }
 
 impl MonitoredService {
     /// Stops acknowledgements while the primary is replaced without being demoted, or an order is in
     /// doubt, and lets them pass again after that.
-    pub(crate) fn advance_ack_stops(&mut self, cx: &mut Cx<'_>) {
+    pub(crate) fn advance_ack_stops(&mut self, cx: &mut Cx<'_>, table: &TrafficParts) {
         let is_fencing = matches!(self.stage, FailoverStage::Fencing { .. });
         let starts = is_fencing
             && self.primary_to_demote().is_none()
@@ -240,7 +278,7 @@
             let stops = &mut self.ack_stops;
             stops.round += 1;
             stops.attempt = self.attempt_number;
-            stops.start_phase(AckPhase::Stopping { term }, cx.now);
+            stops.start_stopping(term, table, cx.now);
         }
         if let AckPhase::Stopping { term } = self.ack_stops.phase
             && self.is_idle()
@@ -248,12 +286,11 @@
         {
             // A primary that has been replaced acknowledges nothing more, so its stop may lapse.
             let leads_on = term >= self.primary_term();
-            let phase = if leads_on {
-                AckPhase::Allowing
+            if leads_on {
+                self.ack_stops.start_allowing(cx.now);
             } else {
-                AckPhase::Passing
-            };
-            self.ack_stops.start_phase(phase, cx.now);
+                self.ack_stops.end();
+            }
         }
         self.ack_stops.send_due(cx, &self.name);
         self.log_stopped_acks(cx);
@@ -307,7 +344,7 @@
             service: self.name.clone(),
             term,
             parts: self.ack_stops.parts.len(),
-            silent: self.ack_stops.silent_parts(),
+            silent: self.ack_stops.unanswered.len(),
             passed_on: self.ack_stops.passed_on,
         });
     }
--- a/crates/decide/src/authority/service.rs
+++ b/crates/decide/src/authority/service.rs
@@ -331,7 +331,6 @@
         self.remove_ended_members(cx);
         self.send_due_probes(cx, outbox);
         self.advance_attempt(cx, outbox);
-        self.advance_ack_stops(cx);
     }
 
     fn advance_attempt(&mut self, cx: &mut Cx<'_>, outbox: &mut Outbox) {
--- a/crates/decide/src/spread.rs
+++ b/crates/decide/src/spread.rs
@@ -281,6 +281,7 @@
             config: self.config.in_force().cloned().unwrap_or_default(),
             config_usable: self.config_usable_until.is_some_and(|until| now < until),
             hosts: self.tables.hosts().clone(),
+            hosts_revision: Some(self.tables.hosts_revision()),
             upstreams,
             services: self.tables.services().clone(),
         }
--- a/crates/decide/src/spread/tables.rs
+++ b/crates/decide/src/spread/tables.rs
@@ -16,6 +16,8 @@
 #[derive(Debug, Default)]
 pub struct FleetTables {
     hosts: HashMap<HostId, HostInfo>,
+    /// How often the live hosts have changed.
+    hosts_revision: u64,
     /// The hosts of each data centre that may own upstreams.
     owner_candidates: BTreeMap<DataCentreId, BTreeMap<HostId, HostInfo>>,
     upstreams: HashMap<UpstreamId, UpstreamView>,
@@ -35,6 +37,11 @@
         &self.hosts
     }
 
+    /// Returns how often the live hosts have changed.
+    pub fn hosts_revision(&self) -> u64 {
+        self.hosts_revision
+    }
+
     /// Returns the live upstreams.
     pub fn upstreams(&self) -> &HashMap<UpstreamId, UpstreamView> {
         &self.upstreams
@@ -89,6 +96,7 @@
             return;
         }
         let old = self.hosts.insert(info.host.clone(), info.clone());
+        self.hosts_revision += 1;
         self.changed = true;
         if let Some(old) = old.filter(placement::can_own)
             && (old.data_centre != info.data_centre || !placement::can_own(info))
@@ -112,6 +120,7 @@
         let Some(old) = self.hosts.remove(host) else {
             return;
         };
+        self.hosts_revision += 1;
         self.changed = true;
         if placement::can_own(&old) {
             self.remove_candidate(&old);
--- a/crates/decide/src/view.rs
+++ b/crates/decide/src/view.rs
@@ -19,6 +19,9 @@
     pub config_usable: bool,
     /// The live hosts, including those that are leaving.
     pub hosts: HashMap<HostId, HostInfo>,
+    /// A number that differs between views of one host whose `hosts` differ; `None` if the view
+    /// doesn't tell.
+    pub hosts_revision: Option<u64>,
     /// The live upstreams, which may get requests.
     pub upstreams: HashMap<UpstreamId, UpstreamView>,
     /// The services that have a live upstream.
