authority: pass on acknowledgements only under a lease of the leader

Cause: a stop of acknowledgements reached only parts that the leader knew and could reach. A host that restarted after the stop, or that the leader couldn't reach, passed on a commit that only an unknown replica had, and the replicas were fenced while it still did.

Change, with the setting group.ack_lease: the leader grants a lease with each confirmed round and lists the stops in force. It is handed down the relay tree in the answers to children's heartbeats (SpreadMsg:: LeasedHeartbeat), and counts only if granted after the host's start. The leader fences replicas once all hosts have answered, or once all leases without the stop have run out. Without a lease, acknowledgements wait for the next one or for a replica that the leader is known to know, and new writes are sent back as not run where neither is to be expected. Stops are numbered across leaders; a lease's list replaces all older stops.

The model of authority_search hands leases to its hosts 300 ms late, or not at all to a host that is cut off; its tests are unchanged.

--- a/crates/decide/src/authority.rs
+++ b/crates/decide/src/authority.rs
@@ -21,18 +21,20 @@
 pub(crate) mod service;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Instant;
 
 use model::{HashMap, PartAddr, ServiceId, UpstreamId};
 use serde::{Deserialize, Serialize};
 
+use crate::ack_lease::{AckStopList, StopNumbers};
 pub use crate::authority::account::{Account, AccountedInstance};
 use crate::authority::ack_parts::TrafficParts;
 pub use crate::authority::instance::EndEvidence;
 pub use crate::authority::log_event::AuthorityLogEvent;
 use crate::authority::service::MonitoredService;
 use crate::owner::ack_gate::AckStopMsg;
-use crate::raft::{LogIndex, PromotionTicket};
+use crate::raft::{LogIndex, PromotionTicket, RaftTerm};
 use crate::upstream_query::{QueryError, QueryId, QueryReply, UpstreamQuery};
 use crate::{Cx, Effect, View};
 
@@ -146,20 +148,54 @@
     services: BTreeMap<ServiceId, MonitoredService>,
     /// The traffic parts that may pass on acknowledgements, of whatever service.
     parts: TrafficParts,
+    stop_numbers: StopNumbers,
+    /// The stops in force, as last listed.
+    stop_list: Arc<AckStopList>,
     is_leader: bool,
 }
 
 impl QuorumAuthority {
-    /// Records whether this host is the consensus leader; each change abandons all attempts.
+    /// Records the highest consensus term that this host knows.
+    pub fn set_consensus_term(&mut self, term: RaftTerm) {
+        self.stop_numbers.set_leader_term(term);
+    }
+
+    /// Records whether this host is the consensus leader; each change abandons all attempts, and a
+    /// new leader takes over the orders of earlier ones.
     pub fn set_leader(&mut self, cx: &mut Cx<'_>, is_leader: bool) {
         if self.is_leader == is_leader {
             return;
         }
         self.is_leader = is_leader;
+        // The list of stops starts anew.
+        self.stop_numbers.next();
         self.outbox.tickets.clear();
         for service in self.services.values_mut() {
             service.reset(cx.now);
+            if is_leader {
+                service.advance_ack_stops(cx, &self.parts, &mut self.stop_numbers);
+            }
+        }
+    }
+
+    /// Returns all stops of acknowledgements that are in force, or `None` on a follower.
+    pub fn ack_stop_list(&mut self, now: Instant) -> Option<Arc<AckStopList>> {
+        if !self.is_leader {
+            return None;
+        }
+        let number = self.stop_numbers.last();
+        if self.stop_list.number != number {
+            let services = self.services.iter();
+            let stops = services.filter_map(|(name, service)| {
+                let term = service.listed_stop(now)?;
+                Some((name.clone(), term))
+            });
+            self.stop_list = Arc::new(AckStopList {
+                number,
+                stops: stops.collect(),
+            });
         }
+        Some(self.stop_list.clone())
     }
 
     /// Updates the services and their instances from a new view.
@@ -171,7 +207,8 @@
         view: &View,
         has_withdrawn: impl Fn(&UpstreamId) -> bool,
     ) {
-        let change = self.parts.sync(view);
+        let lease_time = cx.settings.group.ack_lease;
+        let change = self.parts.sync(view, cx.now, lease_time);
         for service in self.services.values_mut() {
             let stops = &mut service.ack_stops;
             stops.on_parts_changed(&self.parts, &change, cx.now);
@@ -203,7 +240,7 @@
             && self.is_leader
         {
             service.on_query_reply(cx, &mut self.outbox, &query, result);
-            service.advance_ack_stops(cx, &self.parts);
+            service.advance_ack_stops(cx, &self.parts, &mut self.stop_numbers);
         }
     }
 
@@ -219,10 +256,10 @@
     /// hosts and of earlier incarnations of this host.
     pub fn on_order_number(&mut self, cx: &mut Cx<'_>, number: LogIndex, ticket: &PromotionTicket) {
         let is_own_order = ticket.host == cx.me.host && ticket.incarnation == cx.me.incarnation;
-        if let Some(service) = self.services.get_mut(&ticket.service)
-            && is_own_order
-            && self.is_leader
-        {
+        let new = || MonitoredService::new(ticket.service.clone(), cx.now);
+        let service = self.services.entry(ticket.service.clone());
+        let service = service.or_insert_with(new);
+        if is_own_order && self.is_leader {
             service.on_order_number(cx, &mut self.outbox, number, &ticket.upstream);
         }
     }
@@ -267,7 +304,7 @@
         }
         for service in self.services.values_mut() {
             service.step(cx, &mut self.outbox);
-            service.advance_ack_stops(cx, &self.parts);
+            service.advance_ack_stops(cx, &self.parts, &mut self.stop_numbers);
         }
     }
 
--- a/crates/decide/src/authority/ack_parts.rs
+++ b/crates/decide/src/authority/ack_parts.rs
@@ -4,6 +4,7 @@
 //! so that the cost of a new view doesn't grow with hosts times services.
 
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use model::{FIRST_TRAFFIC_PART, HostId, HostInfo, Incarnation, PartAddr};
 
@@ -14,12 +15,16 @@
 struct HostParts {
     incarnation: Incarnation,
     traffic_parts: u16,
+    /// Whether the host is shutting down and has said so.
+    leaving: bool,
 }
 
 /// The traffic parts of all entry hosts.
 #[derive(Debug, Default)]
 pub(crate) struct TrafficParts {
     hosts: BTreeMap<HostId, HostParts>,
+    /// Until when a host that has gone without notice may hold a lease to pass on acknowledgements.
+    gone_hosts_until: Option<Instant>,
     /// Revision of the hosts in the view that the table was compared with last, if it has one.
     revision: Option<u64>,
 }
@@ -35,19 +40,33 @@
 
 impl TrafficParts {
     /// Updates the table from a new view, and returns what has changed.
-    pub(crate) fn sync(&mut self, view: &View) -> PartsChange {
+    ///
+    /// `lease_time` is how long a host may pass on acknowledgements without word from the leader.
+    pub(crate) fn sync(
+        &mut self,
+        view: &View,
+        now: Instant,
+        lease_time: Option<Duration>,
+    ) -> PartsChange {
         let mut change = PartsChange::default();
         if view.hosts_revision.is_some() && view.hosts_revision == self.revision {
             return change;
         }
         self.revision = view.hosts_revision;
+        let mut any_gone_without_notice = false;
         self.hosts.retain(|host, known| {
-            let lasts = view.hosts.get(host).and_then(parts_of) == Some(*known);
-            if !lasts {
-                change.gone.push((host.clone(), known.traffic_parts));
+            let current = view.hosts.get(host).and_then(parts_of);
+            any_gone_without_notice |= current.is_none() && !known.leaving;
+            let lasts = current.is_some_and(|current| current.is_same_run(known));
+            match current.filter(|_| lasts) {
+                Some(current) => *known = current,
+                None => change.gone.push((host.clone(), known.traffic_parts)),
             }
             lasts
         });
+        if let Some(time) = lease_time.filter(|_| any_gone_without_notice) {
+            self.gone_hosts_until = Some(now + time);
+        }
         for (host, info) in &view.hosts {
             if let Some(parts) = parts_of(info)
                 && !self.hosts.contains_key(host)
@@ -59,6 +78,11 @@
         change
     }
 
+    /// Returns until when a host that has gone without notice may pass on acknowledgements.
+    pub(crate) fn gone_hosts_until(&self) -> Option<Instant> {
+        self.gone_hosts_until
+    }
+
     /// Returns all parts with the incarnations of their hosts.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (PartAddr, Incarnation)> {
         self.hosts.keys().flat_map(|host| self.of_host(host))
@@ -87,5 +111,12 @@
     info.is_entry_host.then_some(HostParts {
         incarnation: info.incarnation,
         traffic_parts: info.traffic_parts,
+        leaving: info.leaving,
     })
 }
+
+impl HostParts {
+    fn is_same_run(&self, other: &Self) -> bool {
+        (self.incarnation, self.traffic_parts) == (other.incarnation, other.traffic_parts)
+    }
+}
--- a/crates/decide/src/authority/ack_stop.rs
+++ b/crates/decide/src/authority/ack_stop.rs
@@ -8,10 +8,12 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use model::{Incarnation, PartAddr, Position, Role, ServiceId, Term};
+use model::{Incarnation, PartAddr, Position, ServiceId, Term};
 
 use crate::Cx;
+use crate::ack_lease::{StopNumber, StopNumbers};
 use crate::authority::ack_parts::{self, PartsChange, TrafficParts};
+use crate::authority::failure_detection::FENCE_TIMEOUT;
 use crate::authority::service::{FailoverStage, MonitoredService};
 use crate::authority::{AuthorityLogEvent, Outbox};
 use crate::owner::ack_gate::{AckStopMsg, STOP_TIME};
@@ -28,6 +30,9 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which a stop that is in force is renewed.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(5);
+/// Time for replicas to receive what was acknowledged just before the last lease ran out; several
+/// times their usual delay.
+const REPLICATION_WAIT: Duration = Duration::from_millis(100);
 
 /// A traffic part that has been asked to stop, as far as its acknowledgements go.
 #[derive(Debug)]
@@ -62,10 +67,20 @@
     phase: AckPhase,
     /// When the next request may be due; `None` if none is.
     next_due: Option<Instant>,
-    /// Number of the last request to stop.
-    round: u64,
+    /// Number of the last request to stop, or of its end.
+    round: StopNumber,
     /// The attempt that the last request to stop belongs to.
     attempt: u64,
+    /// By when no host passes on an acknowledgement that the stop applies to, whether or not the
+    /// stop has reached it; `None` if hosts need no lease.
+    leases_end_at: Option<Instant>,
+    /// Until when hosts that have gone without notice may hold a lease.
+    gone_hosts_until: Option<Instant>,
+    /// The terms before the primary's are listed as stopped until this time, after a stop: nothing
+    /// of them is to be acknowledged any more.
+    earlier_terms_stopped_until: Option<Instant>,
+    /// Whether an attempt waits for the stop before it fences replicas.
+    holds_up_fences: bool,
     /// Whether the outcome of the last request to stop was logged.
     is_logged: bool,
     /// The highest log position that parts have reported to have passed on.
@@ -86,6 +101,7 @@
         if self.phase == AckPhase::Passing {
             return;
         }
+        self.gone_hosts_until = table.gone_hosts_until();
         for (host, traffic_parts) in &change.gone {
             for part in ack_parts::part_addrs(host, *traffic_parts) {
                 self.parts.remove(&part);
@@ -119,11 +135,18 @@
     /// Forgets what was asked for, after a change of leader.
     pub(crate) fn reset(&mut self) {
         self.end();
+        self.earlier_terms_stopped_until = None;
         self.passed_on = Position::default();
         self.missing_since = None;
     }
 
-    fn start_stopping(&mut self, term: Term, table: &TrafficParts, now: Instant) {
+    fn start_stopping(
+        &mut self,
+        term: Term,
+        table: &TrafficParts,
+        now: Instant,
+        lease_time: Option<Duration>,
+    ) {
         let mut earlier = std::mem::take(&mut self.parts);
         self.end();
         for (part, incarnation) in table.iter() {
@@ -131,9 +154,19 @@
             self.add_part(part, incarnation, stop_asked_at, now);
         }
         self.phase = AckPhase::Stopping { term };
+        self.leases_end_at = lease_time.map(|time| now + time + REPLICATION_WAIT);
+        self.gone_hosts_until = table.gone_hosts_until();
         self.is_logged = false;
     }
 
+    /// Returns the term up to which acknowledgements are stopped, if they are.
+    fn stopped_term(&self) -> Option<Term> {
+        match self.phase {
+            AckPhase::Stopping { term } => Some(term),
+            AckPhase::Passing | AckPhase::Allowing => None,
+        }
+    }
+
     fn start_allowing(&mut self, now: Instant) {
         for (addr, part) in &mut self.parts {
             part.next_request_at = now;
@@ -147,6 +180,7 @@
     fn end(&mut self) {
         self.phase = AckPhase::Passing;
         self.next_due = None;
+        self.leases_end_at = None;
         self.parts.clear();
         self.unanswered.clear();
     }
@@ -154,14 +188,27 @@
     /// Returns whether each part has answered, or has been waited for long enough.
     pub(crate) fn is_settled(&self, now: Instant) -> bool {
         match self.phase {
-            AckPhase::Stopping { .. } => {
-                let mut unanswered = self.unanswered.values();
-                unanswered.all(|since| now >= *since + ANSWER_WAIT)
-            }
+            AckPhase::Stopping { .. } => match self.leases_end_at {
+                Some(end) => now >= end || self.all_known_hosts_have_answered(now),
+                None => {
+                    let mut unanswered = self.unanswered.values();
+                    unanswered.all(|since| now >= *since + ANSWER_WAIT)
+                }
+            },
             AckPhase::Passing | AckPhase::Allowing => true,
         }
     }
 
+    fn all_known_hosts_have_answered(&self, now: Instant) -> bool {
+        self.unanswered.is_empty() && self.gone_hosts_until.is_none_or(|until| until <= now)
+    }
+
+    /// Returns when a stop that hosts have not answered is settled at the latest.
+    fn settles_at(&self) -> Option<Instant> {
+        let until = self.gone_hosts_until.filter(|_| self.unanswered.is_empty());
+        self.leases_end_at.min(until.or(self.leases_end_at))
+    }
+
     /// Returns whether an instance with this position may be ordered to lead: it has all that was
     /// passed on, or what it lacks has been waited for.
     pub(crate) fn covers(&self, now: Instant, position: Position) -> bool {
@@ -260,14 +307,21 @@
 impl MonitoredService {
     /// Stops acknowledgements while the primary is replaced without being demoted, or an order is in
     /// doubt, and lets them pass again after that.
-    pub(crate) fn advance_ack_stops(&mut self, cx: &mut Cx<'_>, table: &TrafficParts) {
+    ///
+    /// `numbers` numbers the starts and ends of stops.
+    pub(crate) fn advance_ack_stops(
+        &mut self,
+        cx: &mut Cx<'_>,
+        table: &TrafficParts,
+        numbers: &mut StopNumbers,
+    ) {
         let is_fencing = matches!(self.stage, FailoverStage::Fencing { .. });
         let starts = is_fencing
             && self.primary_to_demote().is_none()
             && !self.primary_is_demoted()
             && self.ack_stops.attempt != self.attempt_number;
-        let is_stopping = matches!(self.ack_stops.phase, AckPhase::Stopping { .. });
-        if starts || (self.order_in_doubt && !is_stopping) {
+        let stopped_term = self.ack_stops.stopped_term();
+        if starts || (self.order_in_doubt && stopped_term.is_none()) {
             // Orders in doubt may make two instances primary in turn, so the terms in between are
             // stopped too.
             let term = if self.order_in_doubt {
@@ -275,10 +329,14 @@
             } else {
                 self.highest_term_of_a_primary()
             };
+            let lease_time = cx.settings.group.ack_lease;
             let stops = &mut self.ack_stops;
-            stops.round += 1;
             stops.attempt = self.attempt_number;
-            stops.start_stopping(term, table, cx.now);
+            // Under leases nothing is passed on while a stop lasts, so it need not start again.
+            if lease_time.is_none() || stopped_term.is_none_or(|stopped| stopped < term) {
+                stops.round = numbers.next();
+                stops.start_stopping(term, table, cx.now, lease_time);
+            }
         }
         if let AckPhase::Stopping { term } = self.ack_stops.phase
             && self.is_idle()
@@ -286,6 +344,8 @@
         {
             // A primary that has been replaced acknowledges nothing more, so its stop may lapse.
             let leads_on = term >= self.primary_term();
+            self.ack_stops.round = numbers.next();
+            self.ack_stops.earlier_terms_stopped_until = Some(cx.now + STOP_TIME);
             if leads_on {
                 self.ack_stops.start_allowing(cx.now);
             } else {
@@ -296,6 +356,14 @@
         self.log_stopped_acks(cx);
     }
 
+    /// Returns the term up to which leases list the acknowledgements as stopped, if they do.
+    pub(crate) fn listed_stop(&self, now: Instant) -> Option<Term> {
+        let until = self.ack_stops.earlier_terms_stopped_until;
+        let earlier = self.primary_term().checked_sub(1);
+        let earlier = earlier.filter(|_| until.is_some_and(|until| now < until));
+        self.ack_stops.stopped_term().max(earlier)
+    }
+
     /// Ends the attempt if the best instance lacks writes that were passed on, and returns whether
     /// it does.
     ///
@@ -332,6 +400,33 @@
         true
     }
 
+    /// Returns whether the replicas may be fenced: under leases, once no host passes on
+    /// acknowledgements, so that the replicas receive all that was acknowledged before.
+    ///
+    /// Until then, the attempt's next step and its deadline are put off.
+    pub(crate) fn may_fence(&mut self, now: Instant, lease_time: Option<Duration>) -> bool {
+        let needs_stop = self.primary_to_demote().is_none() && !self.primary_is_demoted();
+        let stops = &mut self.ack_stops;
+        let is_stopped = stops.attempt == self.attempt_number && stops.is_settled(now);
+        let may_fence = lease_time.is_none() || !needs_stop || is_stopped;
+        let was_held_up = std::mem::replace(&mut stops.holds_up_fences, !may_fence);
+        let wait_until = stops.settles_at().filter(|at| now < *at);
+        if let FailoverStage::Fencing {
+            deadline,
+            next_request_at,
+            ..
+        } = &mut self.stage
+        {
+            if !may_fence {
+                *next_request_at = wait_until.unwrap_or(now + RETRY_INTERVAL);
+                *deadline = (*deadline).max(*next_request_at + FENCE_TIMEOUT);
+            } else if was_held_up {
+                *next_request_at = now;
+            }
+        }
+        may_fence
+    }
+
     fn log_stopped_acks(&mut self, cx: &mut Cx<'_>) {
         let AckPhase::Stopping { term } = self.ack_stops.phase else {
             return;
@@ -348,15 +443,4 @@
             passed_on: self.ack_stops.passed_on,
         });
     }
-
-    /// Returns the highest term in which an instance may have led so far, as far as is known.
-    fn highest_term_of_a_primary(&self) -> Term {
-        let members = self.members.values();
-        let statuses = members.filter_map(|member| member.status.as_ref());
-        let terms = statuses.map(|(status, _)| match status.role {
-            Role::Primary => status.term.max(status.position.term),
-            Role::Replica => status.position.term,
-        });
-        terms.max().unwrap_or(0).max(self.primary_term())
-    }
 }
--- a/crates/decide/src/authority/confirmers.rs
+++ b/crates/decide/src/authority/confirmers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use model::UpstreamId;
+use model::{Role, Term, UpstreamId};
 
 use crate::Cx;
 use crate::authority::AuthorityLogEvent;
@@ -108,4 +108,15 @@
             }
         )
     }
+
+    /// Returns the highest term in which an instance may have led so far, as far as is known.
+    pub(crate) fn highest_term_of_a_primary(&self) -> Term {
+        let members = self.members.values();
+        let statuses = members.filter_map(|member| member.status.as_ref());
+        let terms = statuses.map(|(status, _)| match status.role {
+            Role::Primary => status.term.max(status.position.term),
+            Role::Replica => status.position.term,
+        });
+        terms.max().unwrap_or(0).max(self.primary_term())
+    }
 }
--- a/crates/decide/src/authority/failover.rs
+++ b/crates/decide/src/authority/failover.rs
@@ -54,6 +54,9 @@
         let required = self.replicas_to_fence();
         let to_demote = self.primary_to_demote().cloned();
         let attempt = self.attempt_number;
+        if !self.may_fence(cx.now, cx.settings.group.ack_lease) {
+            return;
+        }
         self.fenced_by_this_leader = true;
         let FailoverStage::Fencing {
             term,
--- a/crates/decide/src/authority/failure_detection.rs
+++ b/crates/decide/src/authority/failure_detection.rs
@@ -11,7 +11,7 @@
 use crate::authority::service::{FailoverStage, MonitoredService};
 
 /// How long an attempt may take to fence all replicas.
-const FENCE_TIMEOUT: Duration = Duration::from_millis(2500);
+pub(crate) const FENCE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// How long a service may lack a primary before one is promoted.
 const NO_PRIMARY_GRACE: Duration = Duration::from_millis(800);
 
--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -108,6 +108,7 @@
             | Event::UpstreamProbed(_)
             | Event::AwaitCommit(_)
             | Event::TokenGrant(_)
+            | Event::AckLease { .. }
             | Event::LeaveTimedOut
             | Event::View(_) => {}
         }
@@ -122,6 +123,7 @@
         let Some(raft) = &mut self.raft else {
             return;
         };
+        self.authority.set_consensus_term(raft.term());
         self.authority.set_leader(cx, raft.is_caught_up_leader());
         for ticket in self.authority.take_tickets() {
             raft.propose(cx, EntryData::PromotionOrder(ticket));
@@ -215,11 +217,22 @@
             Committed::ShareIndexes(indexes) => self.tokens.on_share_indexes(cx, &indexes),
             Committed::ConfigConfirmed { version, at } => {
                 self.tokens.on_confirmed(cx, self.raft.as_ref(), at);
+                self.grant_ack_lease(cx, at);
                 self.spread.on_config_confirmed(cx, version, at);
             }
         }
     }
 
+    /// Grants the lease by which acknowledgements are passed on, if this host leads and has taken
+    /// over what earlier leaders have left open.
+    fn grant_ack_lease(&mut self, cx: &mut Cx<'_>, at: Instant) {
+        if cx.settings.group.ack_lease.is_some()
+            && let Some(list) = self.authority.ack_stop_list(cx.now)
+        {
+            self.spread.grant_ack_lease(cx, list, at);
+        }
+    }
+
     /// Publishes a new view to the traffic parts, after the features of this part have adopted it.
     fn publish_view(&mut self, cx: &mut Cx<'_>) {
         let view = Arc::new(self.spread.view(cx.now));
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -5,6 +5,7 @@
 
 use model::{CallId, Claim, HostId, InstanceStatus, PartAddr, Position, ServiceId, UpstreamId};
 
+use crate::ack_lease::AckLease;
 use crate::authority::{PromotionError, PromotionOrder};
 use crate::call::Call;
 use crate::caller::CallerEvent;
@@ -79,6 +80,14 @@
     FactLearned(Fact),
     /// The tables of hosts, upstreams and services have changed, so that a new view is due.
     TablesChanged,
+    /// The control part has a new lease by which acknowledgements of commits are passed on.
+    AckLease {
+        /// The lease.
+        lease: AckLease,
+        /// Whether the leader had the same facts as this host, so that it knows each instance of
+        /// the last view.
+        leader_has_same_facts: bool,
+    },
     /// Consensus has committed an entry, or confirmed that a configuration is current.
     Committed(Committed),
     /// The settings were reloaded with other seeds, the control hosts by which this host joins.
--- a/crates/decide/src/group/settings.rs
+++ b/crates/decide/src/group/settings.rs
@@ -74,6 +74,10 @@
     /// Pause before a replica that failed to answer is asked again whether it has a write.
     #[serde(with = "humantime_serde")]
     pub commit_retry: Duration,
+    /// How long hosts pass on acknowledgements of commits without word from the consensus leader,
+    /// if `authority` is `quorum`; `None` if they need none.
+    #[serde(with = "humantime_serde")]
+    pub ack_lease: Option<Duration>,
     /// Maximum age of an instance's status that is used to decide whether a write may be sent.
     #[serde(with = "humantime_serde")]
     pub known_for: Duration,
@@ -104,6 +108,7 @@
             change_memory: Duration::from_secs(60),
             commit_poll: Duration::from_millis(200),
             commit_retry: Duration::from_millis(50),
+            ack_lease: None,
             known_for: Duration::from_millis(1500),
         }
     }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -48,6 +48,7 @@
 //! Both: `placement`, which assigns an upstream to its owners, the hosts that may connect to it,
 //! and to one traffic part of each.
 
+pub mod ack_lease;
 pub mod admit;
 pub mod authority;
 pub mod breaker;
--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -13,6 +13,7 @@
 pub(crate) mod connections;
 pub(crate) mod dispatch;
 pub(crate) mod drain;
+pub(crate) mod held_acks;
 pub(crate) mod job;
 pub(crate) mod log_event;
 pub(crate) mod pin;
@@ -22,13 +23,16 @@
 pub(crate) mod unconfirmed;
 pub(crate) mod upstream;
 
+use std::sync::Arc;
 use std::time::Instant;
 
-use model::{ConnId, HashMap, HostId, PartAddr, UpstreamId};
+use model::{ConnId, HashMap, HostId, PartAddr, Position, ServiceId, UpstreamId};
 
+use crate::ack_lease::AckLease;
 use crate::conn::ConnEvent;
 use crate::event::ProbeResult;
 use crate::owner::ack_gate::{AckGate, AckStopMsg};
+use crate::owner::held_acks::HeldAcks;
 use crate::owner::job::Job;
 use crate::owner::primary_position::{PositionMsg, PrimaryPositions};
 use crate::owner::replica_wait::{WaitIfSoon, WaitPolicy};
@@ -66,6 +70,8 @@
     pub(crate) primary_positions: PrimaryPositions,
     /// The acknowledgements that may be passed on to callers.
     pub(crate) ack_gate: AckGate,
+    /// The acknowledgements that wait for a lease or for a replica.
+    pub(crate) held_acks: HeldAcks,
     /// The answers that are held back until they are confirmed.
     pub(crate) unconfirmed: UnconfirmedAnswers,
     /// How many connections this part has opened since the host started.
@@ -125,6 +131,7 @@
         }
         self.upstreams
             .retain(|_, upstream| upstream.live || !upstream.is_drained());
+        self.shared.held_acks.ask_replicas(cx, view);
     }
 
     /// Applies a probe result: the upstream's status and this host's claim on it.
@@ -211,12 +218,14 @@
             } => upstream.on_conn_lost(cx, shared, conn, sent, reason),
         }
         upstream.reconcile(cx, shared);
+        shared.held_acks.ask_replicas(cx, view);
     }
 
     /// Drops the queued requests, the answers held back and the idle transactions of an entry host
     /// whose link is down.
     pub fn on_link_down(&mut self, cx: &mut Cx<'_>, host: &HostId) {
         self.shared.unconfirmed.drop_for_host(host);
+        self.shared.held_acks.drop_for_host(host);
         for upstream in self.upstreams.values_mut() {
             upstream.on_link_down(cx, &mut self.shared, host);
             upstream.reconcile(cx, &mut self.shared);
@@ -232,6 +241,36 @@
     /// Handles the request of a control host to stop or to pass on acknowledgements.
     pub fn on_ack_stop_msg(&mut self, cx: &mut Cx<'_>, from: &PartAddr, msg: AckStopMsg) {
         self.shared.ack_gate.on_msg(cx, from, msg);
+        let shared = &mut self.shared;
+        shared.held_acks.recheck(cx, &mut shared.ack_gate);
+    }
+
+    /// Takes a new lease; `known_view` is the present view if the leader knows its instances.
+    pub fn on_ack_lease(
+        &mut self,
+        cx: &mut Cx<'_>,
+        lease: AckLease,
+        known_view: Option<&Arc<View>>,
+    ) {
+        let shared = &mut self.shared;
+        if let Some(view) = known_view {
+            shared.held_acks.set_known_view(view);
+        }
+        shared.ack_gate.on_lease(cx.now, lease);
+        shared.held_acks.recheck(cx, &mut shared.ack_gate);
+    }
+
+    /// Returns whether the commit of a write that starts now could be acknowledged.
+    ///
+    /// Without the setting `group.ack_lease` it always returns true.
+    pub fn may_acknowledge(&self, cx: &Cx<'_>, view: &View, service: &ServiceId) -> bool {
+        let (gate, lease_time) = (&self.shared.ack_gate, cx.settings.group.ack_lease);
+        let primary = view.services.get(service).and_then(|s| s.primary.as_ref());
+        let position = primary.map(|(term, _)| Position::new(*term, 0));
+        lease_time.is_none()
+            || (!gate.is_stopped(cx.now, service, position)
+                && (gate.has_lease(cx.now, lease_time)
+                    || self.shared.held_acks.can_prove(view, service)))
     }
 
     /// Handles a message of another owner about a primary's log position.
@@ -246,13 +285,19 @@
         self.update_primary_positions();
     }
 
-    /// Handles an upstream's reply to a query; returns whether the query asked for a position.
+    /// Handles an upstream's reply to a query; returns whether this module has sent the query.
     pub fn on_query_reply(
         &mut self,
         cx: &mut Cx<'_>,
+        view: &View,
         id: QueryId,
         result: &Result<QueryReply, QueryError>,
     ) -> bool {
+        let shared = &mut self.shared;
+        let gate = &mut shared.ack_gate;
+        if shared.held_acks.on_query_reply(cx, view, gate, id, result) {
+            return true;
+        }
         let is_position_query = self.shared.primary_positions.on_query_reply(cx, id, result);
         self.update_primary_positions();
         is_position_query
@@ -275,10 +320,17 @@
         }
     }
 
+    /// Asks replicas for the commits whose acknowledgements are held back, where that is due.
+    pub fn ask_replicas(&mut self, cx: &mut Cx<'_>, view: &View) {
+        self.shared.held_acks.ask_replicas(cx, view);
+    }
+
     /// Expires deadlines and idle transactions, and opens or closes connections as needed.
     pub fn on_tick(&mut self, cx: &mut Cx<'_>) {
         let deadline_passed = self.leave_deadline.take_if(|by| *by <= cx.now).is_some();
         self.shared.unconfirmed.give_up_expired(cx);
+        let shared = &mut self.shared;
+        shared.held_acks.recheck(cx, &mut shared.ack_gate);
         for upstream in self.upstreams.values_mut() {
             upstream.end_transactions |= deadline_passed;
             upstream.end_expired_pins(cx, &mut self.shared);
@@ -292,6 +344,7 @@
         upstreams
             .filter_map(Upstream::wake_at)
             .chain(self.shared.unconfirmed.wake_at())
+            .chain(self.shared.held_acks.wake_at())
             .chain(self.leave_deadline)
             .chain(self.shared.primary_positions.wake_at())
             .min()
@@ -311,6 +364,8 @@
     /// Returns whether no connection is held, no request waits and no answer is held back.
     pub fn is_drained(&self) -> bool {
         let upstreams = self.upstreams.values();
-        self.shared.unconfirmed.is_empty() && upstreams.into_iter().all(Upstream::is_drained)
+        self.shared.unconfirmed.is_empty()
+            && self.shared.held_acks.is_empty()
+            && upstreams.into_iter().all(Upstream::is_drained)
     }
 }
--- a/crates/decide/src/owner/conn_events.rs
+++ b/crates/decide/src/owner/conn_events.rs
@@ -13,6 +13,7 @@
 use crate::conn::{LossReason, RunOutcome, UpstreamRejection};
 use crate::group::GroupMsg;
 use crate::owner::SharedState;
+use crate::owner::ack_gate::AckDecision;
 use crate::owner::job::{Job, Pin, RunningJob};
 use crate::owner::log_event::OwnerLogEvent;
 use crate::owner::replica_wait::WaitPolicy;
@@ -258,13 +259,24 @@
                     .job
                     .refuse(cx, Refusal::TransactionLost, "not-primary");
             }
-            Ok(())
-                if commits
-                    && !shared
-                        .ack_gate
-                        .pass_on(cx.now, &self.service, outcome.position) =>
-            {
-                running.job.answer_may_have_run(cx);
+            Ok(()) if commits => {
+                let lease_time = cx.settings.group.ack_lease;
+                let position = outcome.position;
+                let gate = &mut shared.ack_gate;
+                let decision = gate.decide(cx.now, lease_time, &self.service, position);
+                match (decision, position) {
+                    (AckDecision::PassOn, _) => {
+                        self.answer_once_confirmed(cx, shared, conn, running, outcome, wrote);
+                    }
+                    (AckDecision::NoLease, Some(position)) => {
+                        let answer = running.job.answer_from(outcome);
+                        let held_acks = &mut shared.held_acks;
+                        held_acks.hold(&self.service, running.job, answer, position);
+                    }
+                    (AckDecision::Stopped | AckDecision::NoLease, _) => {
+                        running.job.answer_may_have_run(cx);
+                    }
+                }
             }
             Ok(()) => self.answer_once_confirmed(cx, shared, conn, running, outcome, wrote),
         }
@@ -285,16 +297,9 @@
         wrote: bool,
     ) {
         if cx.settings.owner.capacity == CapacitySource::Announced {
-            let job = &running.job;
-            let ended = job.is_write() && outcome.tx == TxStatus::Idle;
             let pin = (outcome.tx != TxStatus::Idle).then_some(conn);
-            let answer = Answer {
-                verdict: Verdict::Ran,
-                payload: outcome.payload,
-                tx_status: outcome.tx,
-                position: outcome.position.filter(|_| ended),
-            };
-            return job.send_answer(cx, answer, pin);
+            let answer = running.job.answer_from(outcome);
+            return running.job.send_answer(cx, answer, pin);
         }
         let status = outcome
             .status_after
--- a/crates/decide/src/owner/job.rs
+++ b/crates/decide/src/owner/job.rs
@@ -5,6 +5,7 @@
 use model::{Answer, ConnId, Kind, PartAddr, Refusal, Role, Term, TxStatus, Verdict};
 
 use crate::Cx;
+use crate::conn::RunOutcome;
 use crate::owner::log_event::{LoggedRequest, OwnerLogEvent};
 use crate::relay::{Bounce, RelayMsg, RunRequest};
 
@@ -103,6 +104,17 @@
         }
     }
 
+    /// Returns the answer to it where the end of the request is its confirmation.
+    pub(crate) fn answer_from(&self, outcome: RunOutcome) -> Answer {
+        let ended = self.is_write() && outcome.tx == TxStatus::Idle;
+        Answer {
+            verdict: Verdict::Ran,
+            payload: outcome.payload,
+            tx_status: outcome.tx,
+            position: outcome.position.filter(|_| ended),
+        }
+    }
+
     /// Sends the final answer; `pin` is the connection of the transaction if that stays open.
     pub(crate) fn send_answer(&self, cx: &mut Cx<'_>, answer: Answer, pin: Option<ConnId>) {
         let id = self.run.id;
--- a/crates/decide/src/spread.rs
+++ b/crates/decide/src/spread.rs
@@ -11,6 +11,7 @@
 //! (`fact_stream`, `merge`), and so does the configuration (`config_push`, `config_in_force`).
 //! From the facts each host derives its own tables of hosts, upstreams and services (`tables`).
 
+pub mod ack_lease_push;
 pub mod announce;
 pub mod announcement_lease;
 pub mod config_delta;
@@ -36,6 +37,7 @@
 
 use model::{Config, ConfigVersion, DataCentreId, HashMap, HostId, HostInfo, PartAddr, UpstreamId};
 
+use crate::ack_lease::AckLeaseHolder;
 use crate::spread::announcement_lease::AnnouncementLeases;
 use crate::spread::config_in_force::ConfigInForce;
 use crate::spread::facts::{FactKey, FactTable};
@@ -122,6 +124,8 @@
     pub(crate) leases: AnnouncementLeases,
     /// The versions in force on the hosts below this one.
     pub(crate) host_versions: HostVersions,
+    /// The newest lease by which acknowledgements are passed on.
+    pub(crate) ack_lease: AckLeaseHolder,
 }
 
 impl Spread {
@@ -163,6 +167,7 @@
             view_changed: false,
             leases: AnnouncementLeases::default(),
             host_versions: HostVersions::new(now),
+            ack_lease: AckLeaseHolder::new(now),
         }
     }
 
@@ -197,6 +202,10 @@
         let from = from.host;
         match msg {
             SpreadMsg::Heartbeat(heartbeat) => self.on_heartbeat(cx, &from, *heartbeat),
+            SpreadMsg::LeasedHeartbeat(heartbeat, lease) => {
+                self.on_ack_lease(cx, &from, heartbeat.echo, *lease);
+                self.on_heartbeat(cx, &from, *heartbeat);
+            }
             SpreadMsg::Facts { position, facts } => self.on_facts(cx, &from, position, facts),
             SpreadMsg::Config(update) => self.on_config_update(cx, &from, *update),
             SpreadMsg::Versions(rows) => self.on_versions(&rows),
--- a/crates/decide/src/spread/heartbeat.rs
+++ b/crates/decide/src/spread/heartbeat.rs
@@ -213,7 +213,14 @@
             sync_request,
             config: self.config.status(cx.now),
         };
-        cx.send_control(host, SpreadMsg::Heartbeat(Box::new(heartbeat)));
+        let link = self.links.get(host).filter(|_| is_answer);
+        let lease = link.and_then(|link| self.lease_for_child(cx, link));
+        let heartbeat = Box::new(heartbeat);
+        let msg = match lease {
+            Some(lease) => SpreadMsg::LeasedHeartbeat(heartbeat, lease),
+            None => SpreadMsg::Heartbeat(heartbeat),
+        };
+        cx.send_control(host, msg);
     }
 
     /// Returns the request for a new stream of facts to put into a heartbeat, if one is needed.
--- a/crates/decide/src/spread/msg.rs
+++ b/crates/decide/src/spread/msg.rs
@@ -5,6 +5,7 @@
 use model::{Announcement, Config, ConfigVersion, HostId, Incarnation, UpstreamId};
 use serde::{Deserialize, Serialize};
 
+use crate::ack_lease::AckLeaseMsg;
 use crate::spread::config_delta::ConfigDelta;
 use crate::spread::facts::{Digest, Fact};
 use crate::spread::host_versions::HostVersion;
@@ -46,6 +47,10 @@
     },
     /// The sender no longer takes the receiver as its parent.
     Unlink,
+    /// The answer to a child's heartbeat, with the lease by which acknowledgements are passed on.
+    ///
+    /// It is sent only with the setting `group.ack_lease`, since earlier versions don't know it.
+    LeasedHeartbeat(Box<Heartbeat>, Box<AckLeaseMsg>),
 }
 
 /// A heartbeat, or the answer to one.
--- a/crates/decide/src/traffic.rs
+++ b/crates/decide/src/traffic.rs
@@ -100,9 +100,16 @@
                     .on_token_grant(cx, &self.view, &mut self.sessions, &grant)
             }
             Event::AwaitCommit(wait) => self.on_await_commit(cx, wait),
+            Event::AckLease {
+                lease,
+                leader_has_same_facts,
+            } => {
+                let known_view = leader_has_same_facts.then_some(&self.view);
+                self.owners.on_ack_lease(cx, lease, known_view);
+            }
             Event::QueryAnswered { id, result } => {
                 // The query was sent by either `owners` or `commits`.
-                if !self.owners.on_query_reply(cx, id, &result) {
+                if !self.owners.on_query_reply(cx, &self.view, id, &result) {
                     let resolved = self.commits.on_query_reply(cx, id, result);
                     self.answer_resolved_writes(cx, resolved);
                 }
@@ -133,6 +140,7 @@
         self.sessions.on_tick(cx);
         self.entry.on_tick(cx, &self.view, &mut self.sessions);
         self.owners.on_tick(cx);
+        self.owners.ask_replicas(cx, &self.view);
         self.owners.refresh_positions(cx, &self.view);
         let resolved = self.commits.on_tick(cx);
         self.answer_resolved_writes(cx, resolved);
@@ -193,6 +201,14 @@
             let (id, why) = (run.id, Bounce::Unavailable);
             return cx.send(from, RelayMsg::Bounce { id, why });
         }
+        if new_write
+            && !self
+                .owners
+                .may_acknowledge(cx, &self.view, &run.req.service)
+        {
+            let (id, why) = (run.id, Bounce::NotPrimary { primary: None });
+            return cx.send(from, RelayMsg::Bounce { id, why });
+        }
         self.owners.on_run(cx, &self.view, from, run);
     }
 
--- a/crates/decide/tests/authority_model/fleet.rs
+++ b/crates/decide/tests/authority_model/fleet.rs
@@ -3,13 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use decide::owner::ack_gate::{AckGate, AckStopMsg};
+use decide::ack_lease::{AckLease, AckLeaseHolder};
+use decide::owner::ack_gate::{AckDecision, AckGate, AckStopMsg};
 use decide::upstream_query::{QueryReply, UpstreamQuery};
 use decide::view::{ServiceView, UpstreamView};
 use decide::{Cx, Effect, Msg, View};
 use model::{Announcement, HostInfo, InstanceStatus, PartAddr, Position, Role, Term, UpstreamId};
 
-use super::{Due, NETWORK_TIME, World};
+use super::{ACK_LEASE, Due, NETWORK_TIME, World};
 
 /// How long the last announcement of an instance stays in force.
 const ANNOUNCEMENT_LASTS: Duration = Duration::from_secs(3);
@@ -123,18 +124,39 @@
 }
 
 /// A simulated entry host with one traffic part.
-#[derive(Default)]
 pub(crate) struct Host {
     pub(crate) restarts: u64,
     /// Whether messages of the leader don't reach it.
     pub(crate) cut_from_leader: bool,
     pub(crate) ack_gate: AckGate,
+    leases: AckLeaseHolder,
 }
 
 impl Host {
+    pub(crate) fn new(now: Instant, restarts: u64) -> Self {
+        Self {
+            restarts,
+            cut_from_leader: false,
+            ack_gate: AckGate::default(),
+            leases: AckLeaseHolder::new(now),
+        }
+    }
+
     /// Returns whether it passes the acknowledgement of a commit on to the caller.
+    ///
+    /// One that it would hold back for a lease is not passed on.
     pub(crate) fn passes_on(&mut self, now: Instant, position: Position) -> bool {
-        self.ack_gate.pass_on(now, &"pots".into(), Some(position))
+        let (gate, lease_time) = (&mut self.ack_gate, Some(ACK_LEASE));
+        let decision = gate.decide(now, lease_time, &"pots".into(), Some(position));
+        decision == AckDecision::PassOn
+    }
+
+    /// Takes a lease that another host has handed on.
+    pub(crate) fn take_lease(&mut self, now: Instant, lease: AckLease) {
+        if !self.cut_from_leader && self.leases.adopt(lease) {
+            let lease = self.leases.lease().cloned();
+            self.ack_gate.on_lease(now, lease.unwrap());
+        }
     }
 }
 
@@ -207,11 +229,7 @@
     /// Restarts a host; its callers lose what they wait for, and it forgets what it was told.
     pub(crate) fn restart_host(&mut self, number: u8) {
         let restarts = self.hosts[&number].restarts + 1;
-        let host = Host {
-            restarts,
-            ..Host::default()
-        };
-        self.hosts.insert(number, host);
+        self.hosts.insert(number, Host::new(self.now, restarts));
         for instance in self.instances.values_mut() {
             instance.waiting.retain(|(_, host)| *host != number);
         }
--- a/crates/decide/tests/authority_model/mod.rs
+++ b/crates/decide/tests/authority_model/mod.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use decide::ack_lease::AckLease;
 use decide::authority::{
     AuthorityKind, AuthorityLogEvent, PromotionError, PromotionOrder, QuorumAuthority,
 };
@@ -31,6 +32,10 @@
 const NETWORK_TIME: Duration = Duration::from_millis(3);
 /// When a call to the platform without an answer fails.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long hosts pass on acknowledgements without word from the leader.
+pub(crate) const ACK_LEASE: Duration = Duration::from_secs(2);
+/// Interval between leases, and the time in which relays hand one on.
+const LEASE_INTERVAL: Duration = Duration::from_millis(300);
 pub(crate) const TICK: Duration = Duration::from_millis(10);
 
 /// What happens to a call or query on its way.
@@ -54,6 +59,7 @@
     End(UpstreamId),
     ToHost(u8, AckStopMsg),
     ToLeader(u8, AckStopMsg),
+    Lease(AckLease),
 }
 
 pub(crate) struct World {
@@ -86,6 +92,7 @@
     pub(crate) fn new(seed: u64) -> Self {
         let mut settings = Settings::default();
         settings.group.authority = AuthorityKind::Quorum;
+        settings.group.ack_lease = Some(ACK_LEASE);
         let now = Instant::now();
         let mut world = Self {
             now,
@@ -95,7 +102,7 @@
             rng: SmallRng::seed_from_u64(seed),
             authority: QuorumAuthority::default(),
             instances: BTreeMap::new(),
-            hosts: BTreeMap::from([(1, Host::default()), (2, Host::default())]),
+            hosts: BTreeMap::from([1, 2].map(|number| (number, Host::new(now, 0)))),
             due: BTreeMap::new(),
             due_count: 0,
             orders_fate: Fate::Answered,
@@ -144,10 +151,26 @@
     pub(crate) fn change_leader(&mut self) {
         self.authority = QuorumAuthority::default();
         self.me.incarnation += 1;
-        self.with_authority(|authority, cx| authority.set_leader(cx, true));
+        let term = self.me.incarnation;
+        self.with_authority(|authority, cx| {
+            authority.set_consensus_term(term);
+            authority.set_leader(cx, true);
+        });
         self.announce();
     }
 
+    /// Lets the leader grant a lease that reaches the hosts later.
+    fn grant_lease(&mut self) {
+        if let Some(list) = self.authority.ack_stop_list(self.now) {
+            let lease = AckLease {
+                list,
+                granted_at: self.now,
+                digest_summary: 0,
+            };
+            self.at(self.now + LEASE_INTERVAL, Due::Lease(lease));
+        }
+    }
+
     /// Gives the authority the view of the leader's host.
     fn announce(&mut self) {
         for instance in self.instances.values_mut() {
@@ -297,6 +320,11 @@
                 let from = PartAddr { host, part: 1 };
                 self.with_authority(|a, cx| a.on_ack_stop_msg(cx, &from, &msg));
             }
+            Due::Lease(lease) => {
+                let now = self.now;
+                let hosts = self.hosts.values_mut();
+                hosts.for_each(|host| host.take_lease(now, lease.clone()));
+            }
             Due::End(upstream) => self.instances.get_mut(&upstream).unwrap().end(),
         }
     }
@@ -385,6 +413,9 @@
             if millis.is_multiple_of(100) {
                 self.announce();
             }
+            if millis.is_multiple_of(LEASE_INTERVAL.as_millis()) {
+                self.grant_lease();
+            }
             if millis.is_multiple_of(20) {
                 self.commit();
             }
--- a/crates/decide/tests/stopped_acks.rs
+++ b/crates/decide/tests/stopped_acks.rs
@@ -3,15 +3,19 @@
 
 mod traffic_harness;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use decide::ack_lease::{AckLease, AckStopList, first_number};
+use decide::authority::AuthorityKind;
 use decide::conn::{ConnEvent, RunOutcome};
 use decide::owner::CapacitySource;
 use decide::owner::ack_gate::AckStopMsg;
-use decide::relay::{RelayMsg, RunRequest};
+use decide::relay::{Bounce, RelayMsg, RunRequest};
+use decide::upstream_query::QueryReply;
 use decide::{Effect, Event, Msg, Settings};
-use model::{ConnId, Kind, PartAddr, Position, TxStatus, Verdict};
+use model::{ConnId, InstanceStatus, Kind, PartAddr, Position, Role, TxStatus, Verdict};
 use traffic_harness::{Harness, first_run, take_addressed_msgs, two_owner_harness};
 
 /// An owner of the instance, and the request that its callers' host sends.
@@ -34,9 +38,25 @@
     }
 }
 
+/// How long the leader's leases last in the tests that need them.
+const ACK_LEASE: Duration = Duration::from_secs(2);
+
 impl Owner {
     fn new() -> Self {
+        Self::with_settings(Settings::default())
+    }
+
+    /// Returns an owner that needs leases, has none, and also knows a replica.
+    fn with_leases() -> Self {
         let mut settings = Settings::default();
+        settings.group.authority = AuthorityKind::Quorum;
+        settings.group.ack_lease = Some(ACK_LEASE);
+        let mut owner = Self::with_settings(settings);
+        owner.announce("i2", 1);
+        owner
+    }
+
+    fn with_settings(mut settings: Settings) -> Self {
         settings.owner.capacity = CapacitySource::Announced;
         let mut harness = two_owner_harness(settings);
         harness.request(|req| req.kind = Kind::Write);
@@ -93,6 +113,115 @@
         }
     }
 
+    /// Announces a replica, the only one from then on.
+    fn announce(&mut self, id: &str, incarnation: u64) {
+        let view = &mut self.harness.view;
+        let mut up = view.upstreams["i1"].clone();
+        up.announcement.upstream = id.into();
+        up.announcement.incarnation = incarnation;
+        up.owners.clear();
+        view.upstreams.retain(|other, _| **other == *"i1");
+        view.upstreams.insert(id.into(), up);
+        let service = view.services.get_mut("ledger").unwrap();
+        service.upstreams = vec!["i1".into(), id.into()];
+        self.harness.publish_view();
+    }
+
+    /// Takes a lease that lists these stops and was granted now.
+    fn take_lease(&mut self, number: u64, stops: &[(&str, u64)], leader_has_same_facts: bool) {
+        let stops = stops
+            .iter()
+            .map(|(service, term)| ((*service).into(), *term));
+        let stops = stops.collect();
+        let lease = AckLease {
+            list: Arc::new(AckStopList { number, stops }),
+            granted_at: self.harness.now,
+            digest_summary: 0,
+        };
+        let event = Event::AckLease {
+            lease,
+            leader_has_same_facts,
+        };
+        self.harness.handle(event);
+    }
+
+    /// Runs a write in term 1 that takes some time, and returns the answer or bounce, if any.
+    fn slow_write(&mut self, number: u64, time: Duration) -> Option<RelayMsg> {
+        let from = entry_part();
+        self.harness.effects.clear();
+        self.run.id += 1;
+        self.run.req.timeout = Duration::from_secs(9);
+        let msg = Msg::Relay(RelayMsg::Run(Box::new(self.run.clone())));
+        self.harness.handle(Event::Peer { from, msg });
+        self.harness.now += time;
+        let run = self.harness.effects.iter().find_map(|effect| match effect {
+            Effect::RunOnConn { conn, .. } => Some(*conn),
+            _ => None,
+        });
+        if let Some(conn) = run {
+            self.finish_run(conn, number);
+        }
+        let mut effects = self.harness.effects.iter();
+        effects.find_map(|effect| match effect {
+            Effect::Send {
+                msg: Msg::Relay(msg),
+                ..
+            } => Some(msg.clone()),
+            _ => None,
+        })
+    }
+
+    fn finish_run(&mut self, conn: ConnId, number: u64) {
+        let outcome = RunOutcome {
+            payload: Bytes::new(),
+            tx: TxStatus::Idle,
+            rejected: None,
+            position: Some(Position::new(1, number)),
+            status_before: None,
+            status_after: None,
+        };
+        let done = ConnEvent::Done { conn, outcome };
+        self.harness.handle(Event::Conn(done));
+    }
+
+    /// Answers the queries that replicas get, each with a position in term 1, and returns the
+    /// verdict that a caller gets then, if any.
+    fn answer_replicas(&mut self, number: u64) -> Option<Verdict> {
+        let effects: Vec<Effect> = self.harness.effects.drain(..).collect();
+        for effect in effects {
+            if let Effect::QueryUpstream { id, upstream, .. } = effect
+                && *upstream != *"i1"
+            {
+                let status = InstanceStatus {
+                    role: Role::Replica,
+                    term: 1,
+                    position: Position::new(1, number),
+                    lag: Duration::ZERO,
+                };
+                let result = Ok(QueryReply {
+                    status,
+                    granted: true,
+                    paused_term: 0,
+                    claim: None,
+                });
+                self.harness.handle(Event::QueryAnswered { id, result });
+            }
+        }
+        self.verdict()
+    }
+
+    /// Returns the verdict of an answer that has been sent.
+    fn verdict(&mut self) -> Option<Verdict> {
+        let mut effects = self.harness.effects.iter();
+        effects.find_map(|effect| match effect {
+            Effect::Send {
+                msg: Msg::Relay(RelayMsg::Answer { answer, .. }),
+                ..
+            } => Some(answer.verdict),
+            _ => None,
+        })
+    }
+
     /// Runs a transaction with one statement, and returns the verdict of its `COMMIT`.
     fn commit_transaction(&mut self, statement: Kind, number: u64) -> Verdict {
         (self.run.req.in_transaction, self.run.req.kind) = (true, statement);
@@ -203,3 +332,100 @@
     owner.tell("control-1", stop(1, 1));
     assert_eq!(owner.run(TxStatus::Idle, None).0, Verdict::MayHaveRun);
 }
+
+/// Guards against a commit that a host acknowledges after a restart, before it knows of a stop, and
+/// against a write that runs in vain meanwhile.
+#[test]
+fn a_host_without_a_lease_runs_no_write() {
+    let mut owner = Owner::with_leases();
+    let bounced = owner.slow_write(7, Duration::ZERO);
+    assert!(
+        matches!(
+            bounced,
+            Some(RelayMsg::Bounce {
+                why: Bounce::NotPrimary { primary: None },
+                ..
+            })
+        ),
+        "{bounced:?}"
+    );
+    owner.take_lease(1, &[], true);
+    assert_eq!(owner.write(1, 7), Verdict::Ran);
+}
+
+/// Guards against a commit that is acknowledged by a host that the leader can't reach, and against
+/// one that is never acknowledged though the leader is heard again.
+#[test]
+fn a_commit_without_a_lease_is_acknowledged_with_the_next_one() {
+    let mut owner = Owner::with_leases();
+    owner.take_lease(1, &[], false);
+    assert_eq!(owner.write(1, 7), Verdict::Ran);
+    assert!(owner.slow_write(8, ACK_LEASE).is_none());
+    owner.take_lease(1, &[], false);
+    assert_eq!(owner.verdict(), Some(Verdict::Ran));
+    assert!(owner.slow_write(9, ACK_LEASE).is_none());
+    owner.take_lease(2, &[("ledger", 1)], false);
+    assert_eq!(owner.verdict(), Some(Verdict::MayHaveRun));
+}
+
+/// Guards against callers of a data centre that is cut off from the leader and aren't served.
+#[test]
+fn a_replica_that_the_leader_knows_proves_a_commit_without_a_lease() {
+    let mut owner = Owner::with_leases();
+    owner.take_lease(1, &[], true);
+    assert_eq!(owner.write(1, 7), Verdict::Ran);
+    assert!(owner.slow_write(8, ACK_LEASE).is_none());
+    assert_eq!(owner.answer_replicas(7), None);
+    owner.harness.now += Duration::from_millis(20);
+    owner.harness.handle(Event::Tick);
+    assert_eq!(owner.answer_replicas(8), Some(Verdict::Ran));
+    owner.harness.effects.clear();
+    assert!(owner.slow_write(9, Duration::ZERO).is_none(), "not run");
+    assert_eq!(owner.answer_replicas(9), Some(Verdict::Ran));
+}
+
+/// Guards against commits that only a replica has which the leader doesn't know, or whose fence has
+/// ended with a restart.
+#[test]
+fn a_replica_that_the_leader_may_not_know_proves_nothing() {
+    for (id, incarnation) in [("i3", 1), ("i2", 2)] {
+        let mut owner = Owner::with_leases();
+        owner.take_lease(1, &[], true);
+        assert_eq!(owner.write(1, 7), Verdict::Ran);
+        owner.announce(id, incarnation);
+        assert!(owner.slow_write(8, ACK_LEASE).is_none());
+        assert_eq!(owner.answer_replicas(8), None);
+    }
+}
+
+/// Guards against a new primary whose commits an earlier leader's stop keeps from being
+/// acknowledged.
+#[test]
+fn the_lease_of_a_later_leader_ends_the_stops_that_it_does_not_list() {
+    let mut owner = Owner::with_leases();
+    let (first, second) = (first_number(3), first_number(4));
+    owner.take_lease(first, &[], false);
+    owner.tell("c1", stop(u64::MAX, first + 1));
+    owner.take_lease(first, &[], false);
+    assert_eq!(
+        owner.harness.take_msgs().len(),
+        0,
+        "an older list ends no stop"
+    );
+    assert!(matches!(
+        owner.slow_write(8, Duration::ZERO),
+        Some(RelayMsg::Bounce { .. })
+    ));
+    owner.take_lease(second, &[], false);
+    assert_eq!(owner.write(1, 9), Verdict::Ran);
+}
+
+/// The same for hosts that need no leases: the later leader has stopped the part, too.
+#[test]
+fn a_later_leader_ends_the_stops_of_earlier_ones() {
+    let mut owner = Owner::new();
+    owner.tell("c1", stop(u64::MAX, first_number(3) + 1));
+    owner.tell("c2", stop(1, first_number(4) + 1));
+    owner.tell("c2", allow(first_number(4) + 2));
+    assert_eq!(owner.write(1, 8), Verdict::Ran);
+}
