authority: take over earlier leaders' orders, and doubt late ones longer

Cause: a new leader knew of an earlier one's order only by replicas that were still fenced, while the stop of that leader stayed in force for 20 s at each part, also for a new primary. An accepted order that took effect more than 2.5 s after its answer counted as settled, and the replicas were unfenced; orders may be 12 s late.

Change: order_doubt keeps account of the orders that may still be carried out. Each order is in the log before it is sent, so a new leader takes over those of the last 20 s whose instance doesn't lead, and stops acknowledgements itself before it grants its first lease; that lease, or the end of its own stop, ends the stops of earlier leaders. An accepted order whose instance doesn't lead stays in doubt for 20 s or until it does. All doubt ends after 20 s, also where no attempt is possible. An attempt ends if the instance of all orders in doubt leads; it was demoted before.

--- a/crates/decide/src/authority.rs
+++ b/crates/decide/src/authority.rs
@@ -18,6 +18,7 @@
 pub(crate) mod failure_detection;
 pub(crate) mod instance;
 pub(crate) mod log_event;
+pub(crate) mod order_doubt;
 pub(crate) mod service;
 
 use std::collections::BTreeMap;
@@ -173,6 +174,7 @@
         for service in self.services.values_mut() {
             service.reset(cx.now);
             if is_leader {
+                service.take_over_orders(cx);
                 service.advance_ack_stops(cx, &self.parts, &mut self.stop_numbers);
             }
         }
@@ -259,6 +261,7 @@
         let new = || MonitoredService::new(ticket.service.clone(), cx.now);
         let service = self.services.entry(ticket.service.clone());
         let service = service.or_insert_with(new);
+        service.record_logged_order(cx.now, number, &ticket.upstream);
         if is_own_order && self.is_leader {
             service.on_order_number(cx, &mut self.outbox, number, &ticket.upstream);
         }
--- a/crates/decide/src/authority/account.rs
+++ b/crates/decide/src/authority/account.rs
@@ -115,8 +115,8 @@
             ended: ended
                 .map(|(id, ended)| (id.clone(), ended.primary_position_after))
                 .collect(),
-            order_in_doubt: self.order_in_doubt,
-            instance_in_doubt: self.instance_in_doubt.clone(),
+            order_in_doubt: self.doubt.is_open(),
+            instance_in_doubt: self.doubt.instance().cloned(),
         }
     }
 
@@ -130,7 +130,7 @@
         let primary = self.primary.as_ref();
         let primary = primary.and_then(|(_, id)| self.members.get(id));
         let is_wanted = !self.is_idle()
-            || self.order_in_doubt
+            || self.doubt.is_open()
             || primary.is_some_and(|primary| primary.failed_probes > 0);
         if is_wanted {
             cx.log(AuthorityLogEvent::MemberChanged {
--- a/crates/decide/src/authority/ack_stop.rs
+++ b/crates/decide/src/authority/ack_stop.rs
@@ -321,10 +321,10 @@
             && !self.primary_is_demoted()
             && self.ack_stops.attempt != self.attempt_number;
         let stopped_term = self.ack_stops.stopped_term();
-        if starts || (self.order_in_doubt && stopped_term.is_none()) {
+        if starts || (self.doubt.is_open() && stopped_term.is_none()) {
             // Orders in doubt may make two instances primary in turn, so the terms in between are
             // stopped too.
-            let term = if self.order_in_doubt {
+            let term = if self.doubt.is_open() {
                 Term::MAX
             } else {
                 self.highest_term_of_a_primary()
@@ -340,7 +340,7 @@
         }
         if let AckPhase::Stopping { term } = self.ack_stops.phase
             && self.is_idle()
-            && !self.order_in_doubt
+            && !self.doubt.is_open()
         {
             // A primary that has been replaced acknowledges nothing more, so its stop may lapse.
             let leads_on = term >= self.primary_term();
--- a/crates/decide/src/authority/failover.rs
+++ b/crates/decide/src/authority/failover.rs
@@ -12,6 +12,7 @@
 use model::{Position, UpstreamId};
 
 use crate::authority::instance::MonitoredInstance;
+use crate::authority::order_doubt::LATE_ORDER_TIME;
 use crate::authority::service::{
     FAST_PROBE_INTERVAL, FailoverStage, MonitoredService, RETRY_PAUSE,
 };
@@ -136,7 +137,7 @@
             let member = self.members.get(id);
             member.is_some_and(|m| !m.announcement.draining && !m.announcement.warming)
         };
-        let in_doubt = |id: &UpstreamId| self.instance_in_doubt.as_ref() == Some(id);
+        let in_doubt = |id: &UpstreamId| self.doubt.instance() == Some(id);
         let primary_is_fenced = self.has_fenced_primary(&fenced);
         let uncertain: Vec<&UpstreamId> = fenced
             .keys()
@@ -285,7 +286,8 @@
         });
         match result {
             Ok(()) => {
-                self.settle_doubt();
+                self.doubt.on_accepted();
+                self.earlier_orders_void = true;
                 if let Some(member) = self.members.get_mut(&upstream) {
                     member.next_probe_at = cx.now + FAST_PROBE_INTERVAL;
                 }
@@ -296,26 +298,14 @@
             }
             Err(error) => {
                 if error == PromotionError::Unanswered {
-                    self.doubt_order(&upstream);
+                    let until = cx.now + LATE_ORDER_TIME;
+                    self.doubt.add_unaccepted(Some(&upstream), until);
                 }
                 self.end_attempt(cx, "order-failed");
             }
         }
     }
 
-    /// Records that an order which was not answered may still be carried out.
-    pub(crate) fn doubt_order(&mut self, upstream: &UpstreamId) {
-        let is_only_one = !self.order_in_doubt || self.instance_in_doubt.as_ref() == Some(upstream);
-        self.instance_in_doubt = is_only_one.then(|| upstream.clone());
-        self.order_in_doubt = true;
-    }
-
-    /// Records that no earlier order can be carried out any more.
-    pub(crate) fn settle_doubt(&mut self) {
-        self.order_in_doubt = false;
-        self.instance_in_doubt = None;
-    }
-
     /// Ends the attempt; another one may start after [`RETRY_PAUSE`].
     pub(crate) fn end_attempt(&mut self, cx: &mut Cx<'_>, reason: &'static str) {
         cx.log(AuthorityLogEvent::ReplacementStopped {
@@ -336,7 +326,7 @@
         reason: &'static str,
     ) {
         self.end_attempt(cx, reason);
-        if !self.order_in_doubt {
+        if !self.doubt.is_open() {
             self.unfence_replicas(cx, outbox);
         }
     }
--- a/crates/decide/src/authority/failure_detection.rs
+++ b/crates/decide/src/authority/failure_detection.rs
@@ -8,6 +8,7 @@
 use crate::Cx;
 use crate::authority::AuthorityLogEvent;
 use crate::authority::instance::MonitoredInstance;
+use crate::authority::order_doubt::LATE_ORDER_TIME;
 use crate::authority::service::{FailoverStage, MonitoredService};
 
 /// How long an attempt may take to fence all replicas.
@@ -62,7 +63,7 @@
         let mut members = self.members.values();
         let can_fence_all =
             !members.any(|member| member.is_silent() || member.fence_may_end(cx.now));
-        let keep_primary = self.order_in_doubt && self.primary_is_active() && can_fence_all;
+        let keep_primary = self.doubt.is_open() && self.primary_is_active() && can_fence_all;
         self.stage = FailoverStage::Fencing {
             keep_primary,
             term: self.fence_term,
@@ -78,12 +79,11 @@
             return None;
         }
         // An order in doubt for the instance that leads changes nothing if it is carried out.
-        let primary = self.primary.as_ref().map(|(_, id)| id);
-        if self.instance_in_doubt.as_ref() == primary && self.primary_is_active() {
-            self.settle_doubt();
+        if let Some((_, primary)) = self.primary.as_ref().filter(|_| self.primary_is_active()) {
+            self.doubt.on_leads(primary, false);
         }
         // Once the platform has accepted a newer order, it can't carry out the one in doubt.
-        if self.order_in_doubt {
+        if self.doubt.is_open() {
             return Some("in-doubt");
         }
         // An earlier leader has fenced replicas, and its order may still be carried out.
@@ -91,7 +91,8 @@
             member.fenced_term > self.primary_term() && self.primary_term() > 0
         };
         if !self.earlier_orders_void && self.members.values().any(fenced) {
-            self.order_in_doubt = true;
+            let until = now + LATE_ORDER_TIME;
+            self.doubt.add_unaccepted(None, until);
             return Some("left-fenced");
         }
         let Some((_, id)) = &self.primary else {
--- a/crates/decide/src/authority/log_event.rs
+++ b/crates/decide/src/authority/log_event.rs
@@ -149,6 +149,16 @@
         /// The highest log position that was passed on.
         passed_on: Position,
     },
+    /// An order of an earlier leader, or of an earlier leadership of this host, may still be carried
+    /// out.
+    OrderTakenOver {
+        /// Service that the order is for.
+        service: ServiceId,
+        /// Number of the newest such order.
+        number: LogIndex,
+        /// The instance that it promotes.
+        upstream: UpstreamId,
+    },
     /// An instance has joined or restarted while the primary is being replaced.
     MemberChanged {
         /// Service of the instance.
@@ -179,6 +189,7 @@
             Self::AcksStopped { .. } => 363,
             Self::WritesMissing { .. } => 364,
             Self::WritesGivenUp { .. } => 365,
+            Self::OrderTakenOver { .. } => 366,
         }
     }
 
@@ -189,6 +200,7 @@
             | Self::ReplacementHeldUp { .. }
             | Self::UnfenceUnanswered { .. }
             | Self::WritesMissing { .. }
+            | Self::OrderTakenOver { .. }
             | Self::WritesGivenUp { .. } => log::Level::Warn,
             _ => log::Level::Info,
         }
@@ -325,6 +337,14 @@
                 f,
                 "writes-given-up service={service} position={position} passed_on={passed_on}"
             ),
+            Self::OrderTakenOver {
+                service,
+                number,
+                upstream,
+            } => write!(
+                f,
+                "order-taken-over service={service} order={number} upstream={upstream}"
+            ),
             Self::MemberChanged {
                 service,
                 upstream,
--- a/crates/decide/src/authority/service.rs
+++ b/crates/decide/src/authority/service.rs
@@ -10,6 +10,7 @@
 use crate::authority::instance::{
     ANNOUNCEMENT_WAIT, AddressState, EndedInstance, MonitoredInstance,
 };
+use crate::authority::order_doubt::{LATE_ORDER_TIME, LoggedOrders, OrderDoubt};
 use crate::authority::{AuthorityLogEvent, Outbox, PendingQuery, QueryPurpose};
 use crate::event::Event;
 use crate::raft::LogIndex;
@@ -77,11 +78,10 @@
     pub(crate) stage: FailoverStage,
     /// Since when no instance has been known to be primary.
     pub(crate) no_primary_since: Option<Instant>,
-    /// Whether an order that was not answered may still be carried out.
-    pub(crate) order_in_doubt: bool,
-    /// The instance that all orders in doubt promote; `None` if they differ or an earlier leader
-    /// gave one.
-    pub(crate) instance_in_doubt: Option<UpstreamId>,
+    /// The orders that may still be carried out.
+    pub(crate) doubt: OrderDoubt,
+    /// The last orders that the log shows; `None` if there was none lately.
+    pub(crate) logged_orders: Option<LoggedOrders>,
     /// Whether a later order has made all orders of earlier leaders void.
     pub(crate) earlier_orders_void: bool,
     /// Time by which all its instances should be announced; no attempt starts before.
@@ -116,8 +116,8 @@
                 next_attempt_at: now,
             },
             no_primary_since: None,
-            order_in_doubt: false,
-            instance_in_doubt: None,
+            doubt: OrderDoubt::default(),
+            logged_orders: None,
             earlier_orders_void: false,
             all_announced_by: now + ANNOUNCEMENT_WAIT,
             fenced_by_this_leader: false,
@@ -137,7 +137,7 @@
             next_attempt_at: now + RETRY_PAUSE,
         };
         self.no_primary_since = None;
-        self.settle_doubt();
+        self.doubt.clear();
         self.earlier_orders_void = false;
         self.fenced_by_this_leader = false;
         self.has_demoted_primary = false;
@@ -302,13 +302,14 @@
             self.stage = FailoverStage::Idle {
                 next_attempt_at: cx.now + pause,
             };
-            self.settle_doubt();
+            self.doubt.on_leads(id, true);
             self.earlier_orders_void = true;
             self.ordered_to_lead.clear();
             for member in self.members.values_mut() {
                 member.on_promotion(cx.now);
             }
         }
+        self.end_attempt_if_settled_by(id, cx.now);
         if !is_known_primary {
             self.ordered_to_lead.clear();
             let term = reply.status.term;
@@ -328,6 +329,10 @@
 
     /// Sends due probes, starts an attempt if one is needed, and advances or ends the current one.
     pub(crate) fn step(&mut self, cx: &mut Cx<'_>, outbox: &mut Outbox) {
+        if self.doubt.expire(cx.now) {
+            // Orders of earlier leaders are older than those of this one.
+            self.earlier_orders_void = true;
+        }
         self.remove_ended_members(cx);
         self.send_due_probes(cx, outbox);
         self.advance_attempt(cx, outbox);
@@ -353,17 +358,23 @@
                 deadline, upstream, ..
             } if cx.now >= *deadline => {
                 let upstream = upstream.clone();
-                self.doubt_order(&upstream);
+                let until = cx.now + LATE_ORDER_TIME;
+                self.doubt.add_unaccepted(Some(&upstream), until);
                 self.end_attempt(cx, "no-answer");
             }
-            FailoverStage::ConfirmingPrimary { deadline, .. } if cx.now >= *deadline => {
+            FailoverStage::ConfirmingPrimary {
+                deadline, upstream, ..
+            } if cx.now >= *deadline => {
+                let upstream = upstream.clone();
+                let until = cx.now + LATE_ORDER_TIME;
+                self.doubt.add_accepted(&upstream, until);
                 self.end_attempt(cx, "does-not-lead")
             }
             FailoverStage::AwaitingNumber { .. }
             | FailoverStage::AwaitingAnswer { .. }
             | FailoverStage::ConfirmingPrimary { .. } => {}
         }
-        if self.is_idle() && !self.order_in_doubt {
+        if self.is_idle() && !self.doubt.is_open() {
             self.unfence_replicas(cx, outbox);
         }
     }
@@ -427,6 +438,10 @@
             | FailoverStage::AwaitingAnswer { deadline, .. }
             | FailoverStage::ConfirmingPrimary { deadline, .. } => Some(*deadline),
         };
-        probes.chain(stage).chain(self.ack_stops.wake_at()).min()
+        probes
+            .chain(stage)
+            .chain(self.ack_stops.wake_at())
+            .chain(self.doubt.wake_at())
+            .min()
     }
 }
--- /dev/null
+++ b/crates/decide/tests/authority_orders.rs
@@ -0,0 +1,117 @@
+//! Orders that may still be carried out: those of earlier leaders, and accepted ones that take
+//! effect late.
+#![allow(clippy::unwrap_used, reason = "a test that meets an error ends there")]
+
+mod authority_world;
+
+use std::time::Duration;
+
+use authority_world::World;
+use decide::raft::PromotionTicket;
+
+/// How late an order may be carried out, as the platform states it.
+const LATEST_ORDER: Duration = Duration::from_secs(12);
+
+/// Makes another host lead, which orders these instances to lead, and then this host again.
+fn change_leaders(world: &mut World, ordered: &[&str]) {
+    world.run_authority(|authority, cx| authority.set_leader(cx, false));
+    for upstream in ordered {
+        world.last_order_number += 1;
+        let number = world.last_order_number;
+        let ticket = PromotionTicket {
+            host: "control-2".into(),
+            incarnation: 1,
+            service: "pots".into(),
+            upstream: (*upstream).into(),
+        };
+        world.run_authority(|authority, cx| authority.on_order_number(cx, number, &ticket));
+    }
+    world.run_authority(|authority, cx| authority.set_leader(cx, true));
+}
+
+fn acks_are_stopped(world: &mut World) -> bool {
+    let mut list = None;
+    world.run_authority(|authority, cx| list = authority.ack_stop_list(cx.now));
+    let term = world.primary.as_ref().map_or(1, |(term, _)| *term);
+    let list = list.unwrap();
+    list.stops.iter().any(|(_, stopped)| *stopped >= term)
+}
+
+/// Guards against a commit that the instance of an earlier leader's order lacks: the new leader
+/// knew nothing of the order, and let hosts acknowledge.
+#[test]
+fn a_new_leader_stops_acknowledgements_until_its_own_order_voids_an_earlier_one() {
+    let mut world = World::new();
+    world.run(Duration::from_secs(4));
+    change_leaders(&mut world, &["b"]);
+    assert!(acks_are_stopped(&mut world));
+    assert!(world.orders.is_empty());
+    world.run(Duration::from_secs(2));
+    assert_eq!(world.ordered_upstreams(), ["a"]);
+    assert!(!acks_are_stopped(&mut world));
+    assert!(world.none_is_fenced());
+}
+
+/// Guards against commits that are answered as ones that may have run after each change of leader.
+#[test]
+fn a_new_leader_stops_nothing_if_the_instance_of_the_last_order_leads() {
+    let mut world = World::new();
+    world.run(Duration::from_secs(4));
+    world.instances.get_mut("a").unwrap().cut_off();
+    world.run(Duration::from_secs(3));
+    let (_, successor) = world.primary.clone().unwrap();
+    world.announce(&["a", "b", "c"]);
+    change_leaders(&mut world, &[]);
+    assert!(!acks_are_stopped(&mut world));
+    change_leaders(&mut world, &[&successor]);
+    assert!(!acks_are_stopped(&mut world));
+    // An order for another instance was given in between, and may be the one that is accepted.
+    let other = if *successor == *"b" { "c" } else { "b" };
+    change_leaders(&mut world, &[other, &successor]);
+    assert!(acks_are_stopped(&mut world));
+}
+
+/// Guards against a service whose writes stay stopped: orders are void some time after they were
+/// given, also while none can be given that voids them.
+#[test]
+fn an_earlier_order_is_void_after_its_time_if_no_order_can_be_given() {
+    let mut world = World::new();
+    world.run(Duration::from_secs(4));
+    for id in ["a", "b"] {
+        world.instances.get_mut(id).unwrap().cut_off();
+    }
+    world.run(Duration::from_secs(2));
+    change_leaders(&mut world, &["b"]);
+    world.run(LATEST_ORDER);
+    assert!(acks_are_stopped(&mut world));
+    world.run(Duration::from_secs(10));
+    assert!(!acks_are_stopped(&mut world));
+    assert!(world.orders.is_empty(), "{:?}", world.orders);
+}
+
+/// Guards against commits that the promoted instance lacks: an accepted order that took effect more
+/// than 2.5 s after its answer counted as settled, and replicas were unfenced.
+#[test]
+fn an_accepted_order_that_takes_effect_late_stays_in_doubt_until_then() {
+    let mut world = World::new();
+    world.run(Duration::from_secs(4));
+    world.carries_out_accepted = false;
+    world.instances.get_mut("a").unwrap().cut_off();
+    while world.orders.is_empty() {
+        world.run(Duration::from_millis(100));
+    }
+    let successor = world.orders[0].upstream.clone();
+    let late = world.now + LATEST_ORDER - Duration::from_secs(1);
+    while world.now < late {
+        world.run(Duration::from_millis(100));
+        assert!(world.instances[&*successor].fenced_term > 0);
+        assert!(acks_are_stopped(&mut world));
+        assert_eq!(world.acknowledge_write(), None);
+    }
+    assert!(world.orders.iter().all(|order| order.upstream == successor));
+    world.promote(&successor);
+    world.run(Duration::from_secs(2));
+    assert_eq!(world.primary, Some((2, successor)));
+    assert!(!acks_are_stopped(&mut world));
+    assert!(world.none_is_fenced());
+}
--- a/crates/decide/tests/authority_world/mod.rs
+++ b/crates/decide/tests/authority_world/mod.rs
@@ -82,6 +82,8 @@
     pub(crate) orders: Vec<PromotionOrder>,
     /// Whether the platform carries out orders and answers them.
     pub(crate) platform_answers: bool,
+    /// Whether the platform carries out the orders that it accepts; else a test does so later.
+    pub(crate) carries_out_accepted: bool,
     /// Whether a promotion ends the fences of all instances.
     pub(crate) promotion_ends_fences: bool,
     pub(crate) last_order_number: u64,
@@ -126,6 +128,7 @@
             primary: None,
             orders: Vec::new(),
             platform_answers: true,
+            carries_out_accepted: true,
             promotion_ends_fences: false,
             last_order_number: 100,
             withdrawn: Vec::new(),
@@ -228,7 +231,9 @@
                 Effect::OrderPromotion(order) => {
                     self.orders.push(order.clone());
                     if self.platform_answers {
-                        self.promote(&order.upstream);
+                        if self.carries_out_accepted {
+                            self.promote(&order.upstream);
+                        }
                         let result = Ok(());
                         self.pending_replies
                             .push_back(Event::PromotionAnswered { order, result });
