decide: replicate orders to evacuate a data centre and spread them to all hosts

Change: a new log entry and a new call. The set spreads over the links of the configuration; a heartbeat carries its version once an order was given, and confirms the receiver's configuration only if the receiver holds that version. So no host that starts serves before it knows of the order.

Ruled out: a field of Config, whose encoding can't grow; a fact, which isn't ordered against the configuration.

--- a/crates/decide/src/call.rs
+++ b/crates/decide/src/call.rs
@@ -1,6 +1,7 @@
 //! Calls that operators and the platform make to a host, and the replies to them.
 
 use bytes::Bytes;
+use evac::Order;
 use model::config::{BadChange, Change, Replacement};
 use model::{Announcement, Config, ConfigVersion, HostId, PatchId, UpstreamId};
 use serde::{Deserialize, Serialize};
@@ -41,6 +42,8 @@
         /// The host to remove.
         host: HostId,
     },
+    /// Evacuates a data centre or restores it; may be sent again.
+    Evacuation(Order),
 }
 
 /// Changes to a given version of the configuration, applied all or none.
--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -212,6 +212,9 @@
             Committed::PromotionOrder { index, ticket } => {
                 self.authority.on_order_number(cx, index, &ticket)
             }
+            Committed::Evacuations(evacuations) => {
+                self.spread.on_evacuations_committed(cx, evacuations);
+            }
             Committed::ShareIndexes(indexes) => self.tokens.on_share_indexes(cx, &indexes),
             Committed::ConfigConfirmed { version, at } => {
                 self.tokens.on_confirmed(cx, self.raft.as_ref(), at);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod cx;
 pub mod effect;
 pub mod entry;
+pub mod evacuation;
 pub mod event;
 pub mod grant;
 pub mod group;
--- a/crates/decide/src/log_event.rs
+++ b/crates/decide/src/log_event.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::{authority, grant, group, owner, raft, session, spread};
+use crate::{authority, evacuation, grant, group, owner, raft, session, spread};
 
 /// A log line of one of the features; each has a range of numbers.
 #[derive(Clone, Debug, PartialEq)]
@@ -15,6 +15,8 @@
     Group(group::GroupLogEvent),
     /// Events 350 to 359: primaries replaced by the leader of consensus.
     Authority(authority::AuthorityLogEvent),
+    /// Events 380 to 399: evacuation of data centres.
+    Evacuation(evacuation::EvacLogEvent),
     /// Events 400 to 499: consensus over the control state.
     Raft(raft::RaftLogEvent),
     /// Events 500 to 599: hosts, upstreams and configuration in force.
@@ -38,6 +40,7 @@
             LogEvent::Owner($inner) => $body,
             LogEvent::Group($inner) => $body,
             LogEvent::Authority($inner) => $body,
+            LogEvent::Evacuation($inner) => $body,
             LogEvent::Raft($inner) => $body,
             LogEvent::Spread($inner) => $body,
             LogEvent::Grant($inner) => $body,
@@ -76,6 +79,7 @@
     Owner(owner::OwnerLogEvent),
     Group(group::GroupLogEvent),
     Authority(authority::AuthorityLogEvent),
+    Evacuation(evacuation::EvacLogEvent),
     Raft(raft::RaftLogEvent),
     Spread(spread::SpreadLogEvent),
     Grant(grant::GrantLogEvent),
--- a/crates/decide/src/raft.rs
+++ b/crates/decide/src/raft.rs
@@ -43,9 +43,9 @@
 };
 pub use crate::raft::settings::{BadRaftSetting, RaftSettings};
 use crate::raft::write_batcher::WriteBatcher;
-use crate::replicated_state::{Committed, ReplicatedState};
+use crate::replicated_state::ReplicatedState;
 use crate::view::RaftStatus;
-use crate::{Cx, Effect, Event};
+use crate::{Cx, Effect};
 
 /// One member of the Raft group that replicates the control state.
 #[derive(Debug)]
@@ -187,9 +187,7 @@
         self.first_tick_done = true;
         self.reset_election_timeout(cx);
         if !self.has_no_cluster() {
-            let config = self.replicated_state.config().clone();
-            cx.raise(Event::Committed(Committed::Config(config)));
-            self.raise_share_indexes(cx);
+            self.raise_state(cx);
         }
     }
 
--- a/crates/decide/src/raft/append.rs
+++ b/crates/decide/src/raft/append.rs
@@ -3,6 +3,9 @@
 
 use std::sync::Arc;
 
+use evac::OrderOutcome;
+
+use crate::evacuation::EvacLogEvent;
 use crate::raft::Raft;
 use crate::raft::entry::{EntryData, EntryId, LogIndex, RaftTerm, Snapshot};
 use crate::raft::log::RaftLog;
@@ -169,11 +172,28 @@
         self.last_applied = index;
         self.snapshot = Some(snapshot);
         self.refresh_membership();
+        self.raise_state(cx);
+    }
+
+    /// Raises the configuration, the evacuations and the share indexes as committed, after the
+    /// state was read from a snapshot.
+    ///
+    /// The evacuations go first, so that no configuration comes into force without them.
+    pub(crate) fn raise_state(&self, cx: &mut Cx<'_>) {
+        self.raise_evacuations(cx);
         let config = self.replicated_state.config().clone();
         cx.raise(Event::Committed(Committed::Config(config)));
         self.raise_share_indexes(cx);
     }
 
+    /// Raises the evacuated data centres.
+    fn raise_evacuations(&self, cx: &mut Cx<'_>) {
+        let evacuations = self.replicated_state.evacuations().clone();
+        if evacuations.version > 0 {
+            cx.raise(Event::Committed(Committed::Evacuations(evacuations)));
+        }
+    }
+
     /// Raises the share indexes of all hosts.
     pub(crate) fn raise_share_indexes(&self, cx: &mut Cx<'_>) {
         let share_indexes = Arc::new(self.replicated_state.share_indexes().clone());
@@ -185,9 +205,13 @@
     pub(crate) fn commit_up_to(&mut self, cx: &mut Cx<'_>, index: LogIndex) {
         self.commit_index = self.commit_index.max(index);
         let before = self.replicated_state.config().version;
+        let evacuations_before = self.replicated_state.evacuations().version;
         while self.last_applied < self.commit_index {
             self.apply_next_entry(cx);
         }
+        if self.replicated_state.evacuations().version != evacuations_before {
+            self.raise_evacuations(cx);
+        }
         if self.replicated_state.config().version != before {
             let config = self.replicated_state.config().clone();
             cx.raise(Event::Committed(Committed::Config(config)));
@@ -237,6 +261,18 @@
                 self.raise_share_indexes(cx);
             }
             EntryData::Membership(_) => self.on_membership_committed(cx),
+            EntryData::Evacuation(recorded) => {
+                let recorded = recorded.clone();
+                let outcome = self.replicated_state.apply_order(&recorded);
+                if outcome == OrderOutcome::Changed {
+                    cx.log(EvacLogEvent::Committed {
+                        order: recorded.order,
+                        version: self.replicated_state.evacuations().version,
+                        index,
+                    });
+                }
+                self.answer_evacuation_call(cx, index, outcome);
+            }
         }
     }
 
--- a/crates/decide/src/raft/entry.rs
+++ b/crates/decide/src/raft/entry.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 
+use evac::RecordedOrder;
 use model::config::Replacement;
 use model::{HostId, Incarnation, ServiceId, UpstreamId};
 use serde::{Deserialize, Serialize};
@@ -61,6 +62,8 @@
     AssignShareIndex(HostId),
     /// Replaces the membership; in force as soon as it is in the log, before it is committed.
     Membership(Membership),
+    /// Evacuates a data centre or restores it.
+    Evacuation(RecordedOrder),
 }
 
 /// A promotion order to the platform that the leader of consensus wants numbered.
@@ -85,7 +88,7 @@
     pub last_included: EntryId,
     /// The membership after that entry.
     pub membership: Membership,
-    /// The configuration, the recorded patches and the share indexes after that entry.
+    /// The configuration, recorded patches, share indexes and evacuations after that entry.
     pub replicated_state: ReplicatedState,
 }
 
--- a/crates/decide/src/raft/leader_call.rs
+++ b/crates/decide/src/raft/leader_call.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use evac::{Order, OrderId, OrderOutcome, RecordedOrder};
 use model::config::Replacement;
 use model::{ConfigVersion, HostId};
 
@@ -32,6 +33,8 @@
     PatchApplied(LogIndex),
     /// The replacement of the configuration at this index is applied.
     ReplacementApplied(LogIndex),
+    /// The order about a data centre at this index is applied.
+    OrderApplied(LogIndex),
     /// A quorum has answered this round, which shows that the member still led when the read came.
     RoundConfirmed(ConfirmationRound, ReadQuery),
     /// The host is a voter.
@@ -113,6 +116,7 @@
                 }
             }
             Call::Replace(replacement) => self.on_replace_call(cx, from, id, *replacement),
+            Call::Evacuation(order) => self.on_evacuation_call(cx, from, id, order),
             Call::Document => self.start_read(cx, from, id, ReadQuery::Document),
             Call::Config => self.start_read(cx, from, id, ReadQuery::Config),
             Call::History { after } => self.start_read(cx, from, id, ReadQuery::History(after)),
@@ -161,6 +165,47 @@
         }
     }
 
+    /// Appends an order about a data centre, also one that is in force, so that a quorum confirms it.
+    fn on_evacuation_call(&mut self, cx: &mut Cx<'_>, from: HostId, id: ForwardId, order: Order) {
+        let order_id = OrderId {
+            host: from.clone(),
+            incarnation: id.incarnation,
+            call: id.call,
+        };
+        let recorded = RecordedOrder {
+            id: order_id,
+            order,
+        };
+        if let Some(index) = self.append_as_leader(EntryData::Evacuation(recorded)) {
+            self.add_pending_call(cx, from, id, WaitCondition::OrderApplied(index));
+            self.replicate(cx);
+            self.advance_commit_index(cx);
+        }
+    }
+
+    /// Answers the call whose order about a data centre at `index` has been applied.
+    pub(crate) fn answer_evacuation_call(
+        &mut self,
+        cx: &mut Cx<'_>,
+        index: LogIndex,
+        outcome: OrderOutcome,
+    ) {
+        let RaftRole::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let reply = match outcome {
+            OrderOutcome::Changed | OrderOutcome::Unchanged => Reply::Done,
+            OrderOutcome::TooMany => Reply::Refused("too many data centres are evacuated".into()),
+        };
+        leader.pending_calls.retain(|call| {
+            let answered = matches!(call.waits_for, WaitCondition::OrderApplied(at) if at == index);
+            if answered {
+                call.reply(cx, reply.clone());
+            }
+            !answered
+        });
+    }
+
     /// Answers the call whose replacement at `index` has been applied.
     pub(crate) fn answer_replacement_call(&mut self, cx: &mut Cx<'_>, index: LogIndex) {
         let version = self.replicated_state.config().version;
--- a/crates/decide/src/replicated_state.rs
+++ b/crates/decide/src/replicated_state.rs
@@ -1,4 +1,5 @@
-//! The state machine that consensus replicates: configuration, patches and share indexes.
+//! The state machine that consensus replicates: configuration, patches, share indexes and
+//! evacuations.
 //!
 //! A share index numbers a host. With it and the configuration alone, a host that is cut off knows
 //! its base share: the part of each workspace's rate that it may use meanwhile.
@@ -10,6 +11,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use evac::{Evacuations, OrderOutcome, OrderRecord, RecordedOrder};
 use model::config::Replacement;
 use model::{Config, ConfigVersion, HostId};
 use serde::{Deserialize, Serialize};
@@ -43,6 +45,8 @@
         /// The moment at which the confirming round was started; the version was current then.
         at: Instant,
     },
+    /// A new set of evacuated data centres is committed.
+    Evacuations(Evacuations),
 }
 
 /// A committed patch and its outcome.
@@ -60,10 +64,28 @@
     recorded_patches: VecDeque<RecordedPatch>,
     /// The share index of each host that can have a base share; never taken back.
     share_indexes: BTreeMap<HostId, ShareIndex>,
-    /// The document of the last replacement as it was sent, if there was one.
-    document: Option<Bytes>,
+    extension: Extension,
 }
 
+/// The document of the last replacement as it was sent, if there was one, and the evacuations.
+///
+/// It stands in the place of a field of type `Option<Bytes>`, and the first two variants are
+/// encoded as that was: stores and snapshots without evacuations are read by this version and by
+/// earlier ones.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+enum Extension {
+    #[default]
+    None,
+    Document(Bytes),
+    WithEvacuations {
+        document: Option<Bytes>,
+        orders: OrderRecord,
+    },
+}
+
+/// The evacuations of a state in which none was ordered.
+static NO_ORDERS: OrderRecord = OrderRecord::new();
+
 impl ReplicatedState {
     /// Returns the configuration.
     pub fn config(&self) -> &Arc<Config> {
@@ -83,14 +105,47 @@
 
     /// Returns the document of the last replacement as it was sent, if there was one.
     pub fn document(&self) -> Option<&Bytes> {
-        self.document.as_ref()
+        match &self.extension {
+            Extension::None => None,
+            Extension::Document(document) => Some(document),
+            Extension::WithEvacuations { document, .. } => document.as_ref(),
+        }
+    }
+
+    fn set_document(&mut self, new: Bytes) {
+        match &mut self.extension {
+            Extension::WithEvacuations { document, .. } => *document = Some(new),
+            extension => *extension = Extension::Document(new),
+        }
+    }
+
+    /// Returns the evacuated data centres.
+    pub fn evacuations(&self) -> &Evacuations {
+        match &self.extension {
+            Extension::WithEvacuations { orders, .. } => orders.evacuations(),
+            Extension::None | Extension::Document(_) => NO_ORDERS.evacuations(),
+        }
+    }
+
+    /// Applies a committed order to evacuate or restore a data centre.
+    pub fn apply_order(&mut self, order: &RecordedOrder) -> OrderOutcome {
+        if !matches!(self.extension, Extension::WithEvacuations { .. }) {
+            self.extension = Extension::WithEvacuations {
+                document: self.document().cloned(),
+                orders: OrderRecord::new(),
+            };
+        }
+        match &mut self.extension {
+            Extension::WithEvacuations { orders, .. } => orders.apply(order),
+            Extension::None | Extension::Document(_) => OrderOutcome::Unchanged,
+        }
     }
 
     /// Applies a committed replacement if its version is above the current one.
     pub fn apply_replacement(&mut self, replacement: &Replacement) {
         if replacement.config.version > self.config.version {
             self.config = Arc::new(replacement.config.clone());
-            self.document = Some(replacement.document.clone());
+            self.set_document(replacement.document.clone());
         }
     }
 
--- a/crates/decide/src/spread.rs
+++ b/crates/decide/src/spread.rs
@@ -34,6 +34,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use evac::{EvacEvent, HostEvacuations};
 use model::{Config, ConfigVersion, DataCentreId, HashMap, HostId, HostInfo, PartAddr, UpstreamId};
 
 use crate::spread::announcement_lease::AnnouncementLeases;
@@ -118,6 +119,8 @@
     pub(crate) config_usable: bool,
     /// Whether the next view differs from the last one in its configuration.
     pub(crate) view_changed: bool,
+    /// The evacuated data centres.
+    pub(crate) evacuations: HostEvacuations,
     /// Leases of announcements of the upstreams that this host owns.
     pub(crate) leases: AnnouncementLeases,
     /// The versions in force on the hosts below this one.
@@ -161,6 +164,7 @@
             config_usable_until: None,
             config_usable: false,
             view_changed: false,
+            evacuations: HostEvacuations::default(),
             leases: AnnouncementLeases::default(),
             host_versions: HostVersions::new(now),
         }
@@ -196,7 +200,7 @@
         self.start_once(cx);
         let from = from.host;
         match msg {
-            SpreadMsg::Heartbeat(heartbeat) => self.on_heartbeat(cx, &from, *heartbeat),
+            SpreadMsg::Heartbeat(heartbeat) => self.on_heartbeat(cx, &from, *heartbeat, 0),
             SpreadMsg::Facts { position, facts } => self.on_facts(cx, &from, position, facts),
             SpreadMsg::Config(update) => self.on_config_update(cx, &from, *update),
             SpreadMsg::Versions(rows) => self.on_versions(&rows),
@@ -207,6 +211,11 @@
             SpreadMsg::AskLiveness { host } => self.on_ask_liveness(cx, &from, host),
             SpreadMsg::ConfirmLiveness { host } => self.on_liveness_confirmed(cx, &host),
             SpreadMsg::Unlink => self.on_unlink(&from),
+            SpreadMsg::Evacuations(evacuations) => self.on_evacuations(cx, &from, *evacuations),
+            SpreadMsg::HeartbeatWithEvacuations {
+                heartbeat,
+                evacuations,
+            } => self.on_heartbeat(cx, &from, *heartbeat, evacuations),
         }
         self.finish_event(cx);
     }
@@ -232,6 +241,8 @@
         if let Some(link) = self.links.get_mut(host) {
             link.needs_sync = true;
             link.config_sent = None;
+            link.evacuations_held = 0;
+            link.evacuations_sent = None;
         }
         self.finish_event(cx);
     }
@@ -256,6 +267,9 @@
     /// Records that a quorum has confirmed `version` as current at the moment `at`.
     pub fn on_config_confirmed(&mut self, cx: &mut Cx<'_>, version: ConfigVersion, at: Instant) {
         self.config.record_confirmation(version, at);
+        let version = self.evacuations.version();
+        self.evacuations
+            .reduce(cx.now, EvacEvent::Confirmed { version, at });
         self.finish_event(cx);
     }
 
@@ -283,6 +297,7 @@
             hosts: self.tables.hosts().clone(),
             upstreams,
             services: self.tables.services().clone(),
+            evacuations: self.evacuations.in_force().clone(),
         }
     }
 
@@ -319,6 +334,7 @@
     /// of its links and of the hosts below it in the tree.
     pub fn fleet_status(&self, now: Instant) -> FleetStatus {
         let age = self.config.confirmation_age(now);
+        let evacuated = self.evacuations.in_force().closes_at.keys();
         FleetStatus {
             host: self.me.host.to_string(),
             version: self.config.in_force().map_or(0, |config| config.version),
@@ -326,6 +342,8 @@
             hosts: self.host_rows(),
             services: self.service_rows(),
             raft: None,
+            evacuations: self.evacuations.version(),
+            evacuated: evacuated.map(ToString::to_string).collect(),
         }
     }
 
@@ -390,7 +408,7 @@
     }
 
     /// Emits the addresses of the seeds and publishes this host's first fact, on the first event.
-    fn start_once(&mut self, cx: &mut Cx<'_>) {
+    pub(crate) fn start_once(&mut self, cx: &mut Cx<'_>) {
         if self.is_started {
             return;
         }
--- a/crates/decide/src/spread/config_in_force.rs
+++ b/crates/decide/src/spread/config_in_force.rs
@@ -116,10 +116,13 @@
     }
 
     /// Puts the held configuration in force if its conditions are met, and returns the reason.
+    ///
+    /// `has_newest_evacuations` tells whether no host of the data centre knows of newer evacuations.
     pub fn try_put_in_force(
         &mut self,
         now: Instant,
         settings: &SpreadSettings,
+        has_newest_evacuations: bool,
     ) -> Option<&'static str> {
         let held = self.held.as_ref()?;
         if self.is_in_force {
@@ -134,6 +137,7 @@
         }
         let waited = now >= self.started + settings.startup_wait;
         if waited
+            && has_newest_evacuations
             && self
                 .data_centre_version
                 .is_some_and(|newest| held.version >= newest)
--- a/crates/decide/src/spread/config_push.rs
+++ b/crates/decide/src/spread/config_push.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use evac::{EvacEvent, EvacuationVersion};
 use model::HostId;
 
 use crate::Cx;
@@ -60,7 +61,9 @@
 
     /// Puts the held configuration in force once its conditions are met.
     pub(crate) fn put_config_in_force(&mut self, cx: &mut Cx<'_>) {
-        let Some(reason) = self.config.try_put_in_force(cx.now, &cx.settings.spread) else {
+        let is_newest = self.evacuations.is_newest_nearby();
+        let settings = &cx.settings.spread;
+        let Some(reason) = self.config.try_put_in_force(cx.now, settings, is_newest) else {
             return;
         };
         self.view_changed = true;
@@ -77,12 +80,14 @@
         from: &HostId,
         echo: u32,
         theirs: ConfigStatus,
+        evacuations: EvacuationVersion,
     ) {
         let sender = self.facts.host(from);
         let is_local = sender.is_some_and(|(info, _)| info.data_centre == self.me.data_centre);
         if let Some(version) = theirs.version_in_force.filter(|_| is_local) {
             self.config.record_data_centre_version(version);
         }
+        self.on_evacuations_held(cx, from, evacuations, is_local);
         let Some(link) = self.links.get_mut(from) else {
             return;
         };
@@ -94,8 +99,14 @@
         let sent_at = link.heartbeat_sent_at(echo);
         let confirmed_at = sent_at.zip(theirs.confirmed_age);
         let confirmed_at = confirmed_at.and_then(|(at, age)| at.checked_sub(age));
-        if let Some((version, at)) = theirs.held_version.zip(confirmed_at) {
+        // While this host lacks orders that the sender knows, its own state isn't confirmed.
+        if let Some((version, at)) = theirs.held_version.zip(confirmed_at)
+            && evacuations <= self.evacuations.version()
+        {
             self.config.record_confirmation(version, at);
+            let version = evacuations;
+            self.evacuations
+                .reduce(cx.now, EvacEvent::Confirmed { version, at });
         }
         let deferral_over = cx.now >= self.config_changed_at + cx.settings.spread.heartbeat * 2;
         if link.is_child_only() || deferral_over {
@@ -104,7 +115,10 @@
     }
 
     /// Sends a host the update of the configuration that it lacks, if any.
+    ///
+    /// The evacuations go first, so that no configuration comes into force without them.
     fn push_config(&mut self, cx: &mut Cx<'_>, host: &HostId) {
+        self.push_evacuations(cx, host);
         let recent = cx.now < self.config_changed_at + RESEND_AFTER;
         let leave_to_other_parent = recent && !self.is_first_sender_to(host);
         let Some(link) = self.links.get_mut(host) else {
--- a/crates/decide/src/spread/heartbeat.rs
+++ b/crates/decide/src/spread/heartbeat.rs
@@ -1,5 +1,6 @@
 //! Heartbeats over the links, and the choice of the hosts to have links to.
 
+use evac::EvacuationVersion;
 use model::{DataCentreId, HostId};
 
 use crate::Cx;
@@ -213,7 +214,8 @@
             sync_request,
             config: self.config.status(cx.now),
         };
-        cx.send_control(host, SpreadMsg::Heartbeat(Box::new(heartbeat)));
+        let msg = self.heartbeat_msg(heartbeat);
+        cx.send_control(host, msg);
     }
 
     /// Returns the request for a new stream of facts to put into a heartbeat, if one is needed.
@@ -271,14 +273,23 @@
             sync_request: None,
             config: self.config.status(cx.now),
         };
-        cx.send_control(host, SpreadMsg::Heartbeat(Box::new(heartbeat)));
+        let msg = self.heartbeat_msg(heartbeat);
+        cx.send_control(host, msg);
     }
 
     /// Handles a heartbeat or the answer to one.
     ///
     /// Without a link to the sender, one is made if the sender takes this host as a parent, or if
     /// an unknown host contacts this one, which then takes it as its parent.
-    pub(crate) fn on_heartbeat(&mut self, cx: &mut Cx<'_>, from: &HostId, heartbeat: Heartbeat) {
+    ///
+    /// `evacuations` is the version of the evacuations that the sender holds.
+    pub(crate) fn on_heartbeat(
+        &mut self,
+        cx: &mut Cx<'_>,
+        from: &HostId,
+        heartbeat: Heartbeat,
+        evacuations: EvacuationVersion,
+    ) {
         if self.unresponsive.remove(from).is_some() {
             self.tree_stale = true;
         }
@@ -329,7 +340,7 @@
                 self.report_all_versions(cx, from);
             }
         }
-        self.on_config_status(cx, from, heartbeat.echo, heartbeat.config);
+        self.on_config_status(cx, from, heartbeat.echo, heartbeat.config, evacuations);
         if !heartbeat.is_answer {
             self.send_heartbeat(cx, from, true);
         } else if sync_now {
--- a/crates/decide/src/spread/link.rs
+++ b/crates/decide/src/spread/link.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use evac::EvacuationVersion;
 use model::{ConfigVersion, Incarnation};
 
 use crate::spread::facts::FactKey;
@@ -50,6 +51,10 @@
     pub held_version: Option<ConfigVersion>,
     /// The version of the configuration that was last sent, and when.
     pub config_sent: Option<(ConfigVersion, Instant)>,
+    /// The newest version of the evacuations that the other is known to hold.
+    pub evacuations_held: EvacuationVersion,
+    /// The version of the evacuations that was last sent, and when.
+    pub evacuations_sent: Option<(EvacuationVersion, Instant)>,
     /// The numbers of the last heartbeats to the other, and when they were sent.
     sent_heartbeats: Vec<(u32, Instant)>,
     last_number_sent: u32,
@@ -80,6 +85,8 @@
             version_in_force: None,
             held_version: None,
             config_sent: None,
+            evacuations_held: 0,
+            evacuations_sent: None,
             sent_heartbeats: Vec::new(),
             last_number_sent: last_number,
         }
--- a/crates/decide/src/spread/msg.rs
+++ b/crates/decide/src/spread/msg.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use evac::{EvacuationVersion, Evacuations};
 use model::{Announcement, Config, ConfigVersion, HostId, Incarnation, UpstreamId};
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +47,15 @@
     },
     /// The sender no longer takes the receiver as its parent.
     Unlink,
+    /// The evacuated data centres that the sender knows of.
+    Evacuations(Box<Evacuations>),
+    /// A heartbeat, or the answer to one, of a host that knows of evacuations.
+    HeartbeatWithEvacuations {
+        /// The heartbeat.
+        heartbeat: Box<Heartbeat>,
+        /// Version of the evacuations that the sender holds.
+        evacuations: EvacuationVersion,
+    },
 }
 
 /// A heartbeat, or the answer to one.
--- a/crates/decide/src/view.rs
+++ b/crates/decide/src/view.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use evac::{EvacuationVersion, InForce};
 use model::{
     Announcement, Config, ConfigVersion, HashMap, HostId, HostInfo, ServiceId, Term, UpstreamId,
 };
@@ -23,6 +24,29 @@
     pub upstreams: HashMap<UpstreamId, UpstreamView>,
     /// The services that have a live upstream.
     pub services: HashMap<ServiceId, ServiceView>,
+    /// The evacuated data centres.
+    pub evacuations: Arc<InForce>,
+}
+
+impl View {
+    /// Returns from when nothing is sent to an upstream, if its data centre is evacuated.
+    pub fn closes_at(&self, upstream: &UpstreamId) -> Option<Instant> {
+        if self.evacuations.closes_at.is_empty() {
+            return None;
+        }
+        let data_centre = &self.upstreams.get(upstream)?.announcement.data_centre;
+        self.evacuations.closes_at.get(data_centre).copied()
+    }
+
+    /// Returns whether an upstream's data centre is evacuated.
+    pub fn is_evacuated(&self, upstream: &UpstreamId) -> bool {
+        self.closes_at(upstream).is_some()
+    }
+
+    /// Returns whether nothing at all may be sent to an upstream, as its data centre is evacuated.
+    pub fn is_closed(&self, upstream: &UpstreamId, now: Instant) -> bool {
+        self.closes_at(upstream).is_some_and(|at| at <= now)
+    }
 }
 
 /// A live upstream and its owners.
@@ -63,6 +87,12 @@
     pub services: Vec<ServiceStatus>,
     /// The state of Raft consensus, if the host is a voter.
     pub raft: Option<RaftStatus>,
+    /// Version of the evacuations that the host keeps to; 0 if none was ever ordered.
+    #[serde(default)]
+    pub evacuations: EvacuationVersion,
+    /// The data centres that are evacuated.
+    #[serde(default)]
+    pub evacuated: Vec<String>,
 }
 
 /// A host's name, as text in a report.
--- a/crates/decide/tests/raft/harness.rs
+++ b/crates/decide/tests/raft/harness.rs
@@ -10,6 +10,7 @@
 use decide::raft::{Member, Persist, PersistentState, Raft};
 use decide::replicated_state::control_client::ControlClient;
 use decide::{Event, Msg, Settings};
+use evac::Evacuations;
 use model::config::{Change, CommitRule};
 use model::{CallId, Config, ConfigVersion, HostId, HostInfo};
 use rand::rngs::SmallRng;
@@ -101,6 +102,8 @@
     pub(crate) leader_by_term: BTreeMap<(u64, u64), HostId>,
     /// Every committed configuration, and when it was first reported.
     pub(crate) committed_configs: BTreeMap<ConfigVersion, (Instant, Arc<Config>)>,
+    /// Every committed set of evacuated data centres, by version.
+    pub(crate) committed_evacuations: BTreeMap<u64, Evacuations>,
     /// The newest 400 lines about faults, calls and log events, printed when a test fails.
     pub(crate) trace: VecDeque<String>,
 }
@@ -141,6 +144,7 @@
             calls: BTreeMap::new(),
             leader_by_term: BTreeMap::new(),
             committed_configs: BTreeMap::new(),
+            committed_evacuations: BTreeMap::new(),
             trace: VecDeque::new(),
         };
         sim.committed_configs.insert(0, (now, Arc::default()));
--- a/crates/decide/tests/raft/invariants.rs
+++ b/crates/decide/tests/raft/invariants.rs
@@ -31,6 +31,12 @@
         let host = self.hosts.get_mut(name).unwrap();
         match committed {
             Committed::ShareIndexes(_) | Committed::PromotionOrder { .. } => {}
+            Committed::Evacuations(evacuations) => {
+                let version = evacuations.version;
+                let first = self.committed_evacuations.entry(version);
+                let first = first.or_insert_with(|| evacuations.clone());
+                assert_eq!(*first, evacuations, "{name}: evacuations {version} differ");
+            }
             Committed::Config(config) => {
                 let version = config.version;
                 assert!(
--- a/crates/decide/tests/raft/main.rs
+++ b/crates/decide/tests/raft/main.rs
@@ -6,6 +6,7 @@
 
 mod basics;
 mod earlier_term_commit;
+mod evacuations;
 mod full_disks;
 mod harness;
 mod invariants;
--- a/crates/decide/tests/replicated_state.rs
+++ b/crates/decide/tests/replicated_state.rs
@@ -3,10 +3,13 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use decide::call::{Patch, PatchOutcome};
 use decide::replicated_state::{MAX_RECORDED_PATCHES, ReplicatedState};
-use model::ConfigVersion;
-use model::config::{BadChange, Change, CommitRule};
+use evac::{Order, OrderId, OrderOutcome, RecordedOrder};
+use model::config::{BadChange, Change, CommitRule, Replacement};
+use model::{Config, ConfigVersion, HostId};
+use serde::Serialize;
 
 fn patch(id: &str, base: ConfigVersion, services: &[&str]) -> Arc<Patch> {
     let changes = services.iter().map(|name| Change::SetService {
@@ -111,3 +114,73 @@
     // The oldest patch is no longer recorded, but its base is stale, so it isn't applied twice.
     assert_eq!(state.apply_patch(&p0), PatchOutcome::Stale(limit + 1));
 }
+
+/// The state as earlier versions wrote it, before data centres could be evacuated.
+#[derive(Serialize)]
+struct EarlierState {
+    config: Config,
+    recorded_patches: Vec<(Patch, PatchOutcome)>,
+    share_indexes: std::collections::BTreeMap<HostId, u16>,
+    document: Option<Bytes>,
+}
+
+fn order(call: u64, order: Order) -> RecordedOrder {
+    let id = OrderId {
+        host: "h1".into(),
+        incarnation: 1,
+        call,
+    };
+    RecordedOrder { id, order }
+}
+
+/// Guards against a store of an earlier version that this one can't read, and against a store
+/// without evacuations that an earlier version can't read, as after a rolled back upgrade.
+#[test]
+fn a_state_without_evacuations_is_encoded_as_by_earlier_versions() {
+    for document in [None, Some(Bytes::from_static(b"{}"))] {
+        let config = Config {
+            version: u64::from(document.is_some()),
+            ..Config::default()
+        };
+        let earlier = EarlierState {
+            config: config.clone(),
+            recorded_patches: Vec::new(),
+            share_indexes: [("h1".into(), 0)].into(),
+            document: document.clone(),
+        };
+        let mut state = ReplicatedState::default();
+        state.assign_share_index(&"h1".into());
+        if let Some(document) = document {
+            state.apply_replacement(&Replacement { config, document });
+        }
+        let bytes = postcard::to_stdvec(&earlier).unwrap();
+        assert_eq!(postcard::to_stdvec(&state).unwrap(), bytes);
+        let read: ReplicatedState = postcard::from_bytes(&bytes).unwrap();
+        assert_eq!(read, state);
+    }
+}
+
+/// Guards against a snapshot that drops the document when an order is recorded, or the orders when
+/// the document is replaced.
+#[test]
+fn a_state_with_evacuations_keeps_them_and_the_document() {
+    let mut state = ReplicatedState::default();
+    let replace = |state: &mut ReplicatedState, version, document: &'static [u8]| {
+        let config = Config {
+            version,
+            ..Config::default()
+        };
+        let document = Bytes::from_static(document);
+        state.apply_replacement(&Replacement { config, document });
+    };
+    replace(&mut state, 1, b"first");
+    let east = Order::Evacuate("east".into());
+    assert_eq!(state.apply_order(&order(1, east)), OrderOutcome::Changed);
+    assert_eq!(state.document().unwrap(), "first");
+    replace(&mut state, 2, b"second");
+    let bytes = postcard::to_stdvec(&state).unwrap();
+    let read: ReplicatedState = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(read.document().unwrap(), "second");
+    assert_eq!(read.evacuations().version, 1);
+    assert!(read.evacuations().data_centres.contains("east"));
+}
