decide: send nothing to the instances of an evacuated data centre

Cause: requests went to any live instance.

Change: entry hosts choose no replica there, and no primary there once it is closed; what only instances there could run is refused at once, not run. Owners bounce requests for replicas there, let primaries and open transactions go on until the data centre is closed, and then roll back and close.

--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -185,6 +185,10 @@
             None => self.router.pick(cx, view, &pending),
         };
         let Some((target, reason)) = picked else {
+            if self.router.is_evacuated(cx, view, &pending.req) {
+                let verdict = Verdict::NotRun(Refusal::NoUpstream);
+                return answer_without_result(cx, sessions, pending, verdict);
+            }
             return self.park(cx, pending);
         };
         let id = self.requests.next_attempt_id(cx);
--- a/crates/decide/src/entry/pick.rs
+++ b/crates/decide/src/entry/pick.rs
@@ -1,6 +1,6 @@
 //! Routes requests: to the primary, or to an upstream of the read policy's choice.
 
-use model::{HashMap, Kind, ServiceId, Term, UpstreamId};
+use model::{HashMap, Kind, Request, ServiceId, Term, UpstreamId};
 
 use crate::entry::owner_check::OwnerChecks;
 use crate::entry::pending::{PendingRequest, Target};
@@ -62,7 +62,8 @@
                 .map(|(_, id)| id.clone())
         };
         if req.kind == Kind::Write || (req.in_transaction && !req.read_only_transaction) {
-            return primary().map(|id| (id, "write"));
+            let open = primary().filter(|id| !view.is_closed(id, cx.now));
+            return open.map(|id| (id, "write"));
         }
         let needs_newest = req.floor.is_none() && req.max_age.is_none();
         if pending.replica_behind || needs_newest {
@@ -83,6 +84,20 @@
         self.policy.pick(cx, view, service, &usable)
     }
 
+    /// Returns whether a request can't run as long as data centres are evacuated: all instances that
+    /// could run it, or could become the primary that it needs, are in such.
+    ///
+    /// It is false until the primary is closed, which may have work under way.
+    pub(crate) fn is_evacuated(&self, cx: &Cx<'_>, view: &View, req: &Request) -> bool {
+        let Some(service) = view.services.get(&req.service) else {
+            return false;
+        };
+        let mut instances = service.upstreams.iter();
+        let primary = self.newest_primary(view, &req.service);
+        let primary_open = primary.is_some_and(|(_, id)| !view.is_closed(id, cx.now));
+        !service.upstreams.is_empty() && !primary_open && instances.all(|id| view.is_evacuated(id))
+    }
+
     /// Returns the upstreams of a service that may get a read now.
     fn usable_upstreams<'a>(
         &self,
--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -13,6 +13,7 @@
 pub(crate) mod connections;
 pub(crate) mod dispatch;
 pub(crate) mod drain;
+pub(crate) mod evacuation;
 pub(crate) mod job;
 pub(crate) mod log_event;
 pub(crate) mod pin;
@@ -114,6 +115,7 @@
             upstream.live = seen.is_some();
             upstream.owned = seen.is_some_and(|seen| seen.owners.contains(&cx.me.host));
             upstream.update_drain(cx, seen);
+            upstream.update_evacuation(view);
             upstream.update_primary(view);
             if let Some(seen) = seen
                 && cx.settings.owner.capacity == CapacitySource::Announced
--- a/crates/decide/src/owner/dispatch.rs
+++ b/crates/decide/src/owner/dispatch.rs
@@ -82,6 +82,7 @@
         self.claim.take_if(|(_, until)| *until <= cx.now);
         self.refuse_expired(cx);
         self.end_drain_if_due(cx);
+        self.close_evacuated_if_due(cx);
         if !self.accepts_work(cx.now) {
             self.stop_work(cx, shared);
         }
@@ -120,8 +121,8 @@
     }
 
     /// Bounces the queued requests and closes idle connections; also rolls back idle transactions if
-    /// the claim has ended or the leave deadline, until which a leaving host waits for open
-    /// transactions, has passed.
+    /// the claim has ended, nothing may be sent to the upstream as its data centre is evacuated, or
+    /// the leave deadline, until which a leaving host waits for open transactions, has passed.
     fn stop_work(&mut self, cx: &mut Cx<'_>, shared: &mut SharedState) {
         for job in self.queue.drain_where(|job| job.run.pin.is_none()) {
             job.bounce(cx, Bounce::NotOwner);
@@ -129,7 +130,8 @@
         for conn in self.pool.remove_surplus(0) {
             self.close_conn(cx, shared, conn, "no-claim");
         }
-        if self.end_transactions || self.active_claim(cx.now).is_none() {
+        let is_closed = self.evacuation.is_closed(cx.now);
+        if self.end_transactions || is_closed || self.active_claim(cx.now).is_none() {
             for conn in self.idle_pins() {
                 self.end_transaction(cx, shared, conn, "handed-over");
             }
--- a/crates/decide/src/owner/pin.rs
+++ b/crates/decide/src/owner/pin.rs
@@ -13,15 +13,16 @@
 use crate::queue::{QueueDiscipline, RequestQueue};
 
 impl<Q: QueueDiscipline, W: WaitPolicy> Upstream<Q, W> {
-    /// Queues a statement of an open transaction; refuses it if the pin isn't its session's or the
-    /// claim has ended.
+    /// Queues a statement of an open transaction; refuses it if the pin isn't its session's, the
+    /// claim has ended or nothing may be sent to the upstream, as its data centre is evacuated.
     pub(crate) fn admit_pinned(&mut self, cx: &mut Cx<'_>, conn: ConnId, job: Job) {
         let session = job.run.session;
         let pinned_by_session = self
             .pins
             .get(&conn)
             .is_some_and(|pin| pin.from == job.from && pin.session == session);
-        if pinned_by_session && self.active_claim(cx.now).is_some() {
+        let is_closed = self.evacuation.is_closed(cx.now);
+        if pinned_by_session && !is_closed && self.active_claim(cx.now).is_some() {
             self.extend_pin(conn, job.deadline);
             self.enqueue(cx, job);
         } else {
--- a/crates/decide/src/owner/upstream.rs
+++ b/crates/decide/src/owner/upstream.rs
@@ -22,6 +22,7 @@
 use crate::breaker::Breaker;
 use crate::event::ProbeResult;
 use crate::owner::drain::DrainState;
+use crate::owner::evacuation::EvacuationState;
 use crate::owner::job::{Job, Pin, RunningJob};
 use crate::owner::log_event::OwnerLogEvent;
 use crate::owner::replica_wait::{InstanceProgress, WaitPolicy};
@@ -44,6 +45,8 @@
     pub(crate) owned: bool,
     /// Whether it drains, and until when it gets new requests then.
     pub(crate) drain: DrainState,
+    /// Whether its data centre is evacuated.
+    pub(crate) evacuation: EvacuationState,
     /// Whether this host is shutting down and accepts no new work.
     pub(crate) leaving: bool,
     /// Whether open transactions are rolled back as soon as no statement of them runs; set at the
@@ -90,6 +93,7 @@
             live: true,
             owned: true,
             drain: DrainState::default(),
+            evacuation: EvacuationState::default(),
             leaving: false,
             end_transactions: false,
             unreachable: false,
@@ -117,7 +121,7 @@
 
     /// Returns whether it accepts requests outside of open transactions.
     pub(crate) fn accepts_work(&self, now: Instant) -> bool {
-        let is_drained = self.drain.has_ended(now);
+        let is_drained = self.drain.has_ended(now) || self.is_evacuated(now);
         self.live && self.owned && !self.leaving && !is_drained && self.active_claim(now).is_some()
     }
 
@@ -240,6 +244,7 @@
             self.pins_wake_at(),
             self.next_open_at,
             self.drain.wake_at(),
+            self.evacuation.wake_at(),
         ];
         all.into_iter().flatten().min()
     }
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -144,8 +144,8 @@
 
     /// Returns the upstreams of a service that may get a read now.
     ///
-    /// It leaves out draining replicas, those that were behind a floor, and upstreams that no owner
-    /// can reach. Upstreams whose owners have all left reads unanswered are the last resort.
+    /// It leaves out draining replicas, those that were behind a floor, those of evacuated data
+    /// centres, a primary there once it is closed, and upstreams that no owner can reach. Upstreams whose owners have all left reads unanswered are the last resort.
     pub(crate) fn usable_upstreams<'a>(
         &self,
         now: Instant,
@@ -157,7 +157,9 @@
         let primary = service.primary.as_ref().map(|(_, primary)| primary);
         let takes_work = |id: &&UpstreamId| {
             let up = view.upstreams.get(*id);
-            primary == Some(*id) || up.is_some_and(|up| !up.announcement.draining)
+            let is_primary = primary == Some(*id);
+            let evacuated = view.is_closed(id, now) || (!is_primary && view.is_evacuated(id));
+            !evacuated && (is_primary || up.is_some_and(|up| !up.announcement.draining))
         };
         let mut usable: Vec<&UpstreamId> = service
             .upstreams
--- a/crates/decide/tests/owner_harness/mod.rs
+++ b/crates/decide/tests/owner_harness/mod.rs
@@ -14,6 +14,7 @@
 use decide::relay::{RelayMsg, RunRequest};
 use decide::view::{ServiceView, UpstreamView};
 use decide::{Cx, Effect, Event, Msg, Settings, View};
+use evac::InForce;
 use model::{Announcement, Claim, HostInfo, Kind, Request, TxStatus};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -115,6 +116,8 @@
             "set" => self.set(line),
             "upstream" => self.announce_upstream(line),
             "gone" => self.remove_upstream(line),
+            "evacuate" => self.evacuate(line),
+            "restore" => self.set_evacuations(InForce::default()),
             "primary" => self.set_primary(line),
             "probe" => self.probe(line),
             "run" => self.run(line),
@@ -214,6 +217,20 @@
         self.with(|owners, cx, view| owners.on_view(cx, view));
     }
 
+    /// Evacuates the data centre of all upstreams, which closes after a time.
+    fn evacuate(&mut self, line: &Line) {
+        let closes_at = self.now + parse_duration(line.get_or("closes", "0s"));
+        self.set_evacuations(InForce {
+            version: 1,
+            closes_at: [("dc".into(), closes_at)].into(),
+        });
+    }
+
+    fn set_evacuations(&mut self, evacuations: InForce) {
+        self.view.evacuations = evacuations.into();
+        self.with(|owners, cx, view| owners.on_view(cx, view));
+    }
+
     fn set_primary(&mut self, line: &Line) {
         let term = line.get_or("term", "1").parse().unwrap();
         let service = line.text_or("service", "s");
