authority, group: replace primaries of an evacuated data centre

Cause: a primary in an evacuated data centre would stop taking writes without a successor.

Change: an instance there counts as draining: its primary is replaced by the planned change if an instance elsewhere can lead, and instances elsewhere come first as successors. If only one there has every acknowledged write, it leads until another has them.

--- a/crates/decide/src/authority/failover.rs
+++ b/crates/decide/src/authority/failover.rs
@@ -41,10 +41,10 @@
         (self.primary_is_active() && !leads_on).then_some(id)
     }
 
-    /// Returns whether an instance has announced that it drains.
+    /// Returns whether an instance has announced that it drains, or its data centre is evacuated.
     pub(crate) fn drains(&self, id: &UpstreamId) -> bool {
         let member = self.members.get(id);
-        member.is_some_and(|member| member.announcement.draining)
+        member.is_some_and(MonitoredInstance::must_be_replaced)
     }
 
     /// Demotes the primary, then fences the replicas, and chooses the successor once all are fenced.
@@ -131,7 +131,7 @@
         }
         let is_available = |id: &UpstreamId| {
             let member = self.members.get(id);
-            member.is_some_and(|m| !m.announcement.draining && !m.announcement.warming)
+            member.is_some_and(|m| !m.must_be_replaced() && !m.announcement.warming)
         };
         let in_doubt = |id: &UpstreamId| self.instance_in_doubt.as_ref() == Some(id);
         let primary_is_fenced = self.has_fenced_primary(&fenced);
--- a/crates/decide/src/authority/failure_detection.rs
+++ b/crates/decide/src/authority/failure_detection.rs
@@ -112,10 +112,15 @@
             return (now >= since + NO_PRIMARY_GRACE).then_some("stepped-down");
         }
         let others = self.members.iter().filter(|(other, _)| *other != id);
-        let mut others = others.filter(|(_, member)| !member.announcement.draining);
+        let mut others = others.filter(|(_, member)| !member.must_be_replaced());
         let has_successor =
             others.any(|(_, member)| member.status.is_some() && member.failed_probes == 0);
-        (primary.announcement.draining && has_successor).then_some("leaving")
+        let reason = if primary.evacuated {
+            "evacuated"
+        } else {
+            "leaving"
+        };
+        (primary.must_be_replaced() && has_successor).then_some(reason)
     }
 
     /// Returns whether the known primary last reported that role and answered the last probe.
--- a/crates/decide/src/authority/instance.rs
+++ b/crates/decide/src/authority/instance.rs
@@ -50,6 +50,8 @@
 #[derive(Debug)]
 pub(crate) struct MonitoredInstance {
     pub(crate) announcement: Announcement,
+    /// Whether its data centre is evacuated.
+    pub(crate) evacuated: bool,
     /// Its last status, and when the query for it was sent.
     pub(crate) status: Option<(InstanceStatus, Instant)>,
     /// Term of its fence, or 0 if it isn't fenced.
@@ -93,6 +95,7 @@
     pub(crate) fn new(announcement: Announcement, now: Instant) -> Self {
         Self {
             announcement,
+            evacuated: false,
             status: None,
             fenced_term: 0,
             fences_ended_at: None,
@@ -134,6 +137,12 @@
         self.failed_probes >= SILENT_AFTER_FAILED_PROBES
     }
 
+    /// Returns whether it is to be replaced as primary, and not to become one: it drains, or its data
+    /// centre is evacuated.
+    pub(crate) fn must_be_replaced(&self) -> bool {
+        self.announcement.draining || self.evacuated
+    }
+
     /// Records an announcement that is in force.
     pub(crate) fn on_announced(&mut self, announcement: &Announcement, now: Instant) {
         self.lapsed_since = None;
--- a/crates/decide/src/authority/service.rs
+++ b/crates/decide/src/authority/service.rs
@@ -175,6 +175,7 @@
             let new = || MonitoredInstance::new(announcement.clone(), now);
             let member = self.members.entry(id.clone()).or_insert_with(new);
             member.on_announced(announcement, now);
+            member.evacuated = view.is_evacuated(id);
         }
         self.sync_unannounced(cx, view, has_withdrawn);
         if let Some((term, id)) = &service_view.primary
--- a/crates/decide/src/group/state.rs
+++ b/crates/decide/src/group/state.rs
@@ -106,6 +106,8 @@
                 .entry(upstream.clone())
                 .or_insert_with(|| GroupMember::new(upstream_view.announcement.clone(), cx.now));
             member.announcement = upstream_view.announcement.clone();
+            // An evacuated primary is replaced as one that drains.
+            member.announcement.draining |= view.is_evacuated(upstream);
             let owned = upstream_view.owners.contains(&cx.me.host);
             // A claim that is in use is given back only after the traffic part has drained it.
             member.releasing = !owned && (member.releasing || member.claim.is_some());
--- a/crates/decide/tests/authority_world/mod.rs
+++ b/crates/decide/tests/authority_world/mod.rs
@@ -16,6 +16,7 @@
 use decide::upstream_query::{QueryError, QueryReply, UpstreamQuery};
 use decide::view::{ServiceView, UpstreamView};
 use decide::{Cx, Effect, Event, Msg, Settings, View};
+use evac::InForce;
 use model::{Announcement, HostInfo, InstanceStatus, Position, Role, Term, UpstreamId};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -85,6 +86,8 @@
     /// Whether a promotion ends the fences of all instances.
     pub(crate) promotion_ends_fences: bool,
     pub(crate) last_order_number: u64,
+    /// Instances whose data centre is evacuated.
+    pub(crate) evacuated: Vec<&'static str>,
     /// Instances that have withdrawn their announcements.
     pub(crate) withdrawn: Vec<&'static str>,
     /// Whether entry host `entry-1` is alive, which answers no request to stop acknowledgements.
@@ -128,6 +131,7 @@
             platform_answers: true,
             promotion_ends_fences: false,
             last_order_number: 100,
+            evacuated: Vec::new(),
             withdrawn: Vec::new(),
             has_silent_entry_host: false,
             last_stop_round: 0,
@@ -148,7 +152,11 @@
                 upstream: (*id).into(),
                 service: "pots".into(),
                 addr: address(id),
-                data_centre: "dc-1".into(),
+                data_centre: if self.evacuated.contains(id) {
+                    "dc-2".into()
+                } else {
+                    "dc-1".into()
+                },
                 group_size: 0,
                 slots: 2,
                 connections: 0,
@@ -173,6 +181,10 @@
             group_size: 0,
         };
         view.services.insert("pots".into(), service);
+        view.evacuations = Arc::new(InForce {
+            version: 1,
+            closes_at: [("dc-2".into(), self.now)].into(),
+        });
         if self.has_silent_entry_host {
             let host = HostInfo {
                 host: "entry-1".into(),
