host, carawayctl: evacuate and restore data centres, status and metrics

Change: a call of the JSON-RPC API, carawayctl evacuate and restore, the evacuated data centres in carawayctl status, and the metrics caraway_evacuation_version and caraway_evacuated_data_centres.

--- a/crates/carawayctl/src/args.rs
+++ b/crates/carawayctl/src/args.rs
@@ -51,6 +51,13 @@
     Config(ConfigCommand),
     /// Shows the hosts, services, upstreams and configuration version that one host knows of.
     Status,
+    /// Orders that nothing more is sent to the instances of a data centre, until it is restored.
+    ///
+    /// Primaries there are replaced by instances elsewhere. Done means that a quorum has committed
+    /// the order; it is in force on every host that is not cut off within 5 seconds.
+    Evacuate(DataCentreOptions),
+    /// Ends the evacuation of a data centre, so that its instances are used again.
+    Restore(DataCentreOptions),
     /// Creates, changes and lists workspaces.
     #[command(subcommand)]
     Workspace(WorkspaceCommand),
@@ -74,6 +81,13 @@
     },
 }
 
+/// Options of `evacuate` and `restore`.
+#[derive(Debug, clap::Args)]
+pub(crate) struct DataCentreOptions {
+    /// The name of the data centre, as its instances announce it.
+    pub(crate) data_centre: String,
+}
+
 /// Options of `patch`.
 #[derive(Debug, clap::Args)]
 pub(crate) struct PatchOptions {
--- a/crates/carawayctl/src/main.rs
+++ b/crates/carawayctl/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod client;
 mod config;
+mod evacuation;
 mod key;
 mod load;
 mod output;
@@ -24,6 +25,8 @@
         Command::Patch(options) => patch::patch(&cx, &options).await,
         Command::Config(command) => config::config(&cx, &command).await,
         Command::Status => status::status(&cx).await,
+        Command::Evacuate(options) => evacuation::evacuate(&cx, &options).await,
+        Command::Restore(options) => evacuation::restore(&cx, &options).await,
         Command::Workspace(command) => workspace::workspace(&cx, &command).await,
         Command::Key(command) => key::key(&cx, &command).await,
         Command::Sql(options) => sql::sql(&cx, &options).await,
--- a/crates/carawayctl/src/status.rs
+++ b/crates/carawayctl/src/status.rs
@@ -23,6 +23,7 @@
     let age = age.map_or("never".to_owned(), |age| format!("{age:.1} s ago"));
     let (host, version) = (&status.host, status.version);
     println!("asked {host}: configuration {version} in force, confirmed {age}");
+    show_evacuations(status);
     show_hosts(status);
     show_services(status);
     if let Some(raft) = &status.raft {
@@ -40,6 +41,17 @@
     }
 }
 
+fn show_evacuations(status: &FleetStatus) {
+    if status.evacuations > 0 {
+        let evacuated = match status.evacuated.is_empty() {
+            true => "none".to_owned(),
+            false => status.evacuated.join(", "),
+        };
+        let version = status.evacuations;
+        println!("evacuated data centres (version {version}): {evacuated}");
+    }
+}
+
 fn show_hosts(status: &FleetStatus) {
     let rows: Vec<Vec<String>> = status
         .hosts
@@ -66,7 +78,10 @@
 }
 
 fn show_services(status: &FleetStatus) {
-    let rows: Vec<Vec<String>> = status.services.iter().flat_map(service_rows).collect();
+    let rows = status.services.iter();
+    let rows: Vec<Vec<String>> = rows
+        .flat_map(|service| service_rows(service, &status.evacuated))
+        .collect();
     println!();
     let headings = [
         "SERVICE",
@@ -80,16 +95,21 @@
     print_table(&headings, &rows);
 }
 
-fn service_rows(service: &ServiceStatus) -> Vec<Vec<String>> {
+fn service_rows(service: &ServiceStatus, evacuated: &[String]) -> Vec<Vec<String>> {
     let row = |upstream: &decide::view::UpstreamStatus| {
         let primary = service.primary.as_deref() == Some(&upstream.upstream);
+        let state = match (upstream.live, evacuated.contains(&upstream.data_centre)) {
+            (false, _) => "lapsed",
+            (true, true) => "evacuated",
+            (true, false) => "live",
+        };
         vec![
             service.service.clone(),
             service.term.to_string(),
             upstream.upstream.clone(),
             upstream.data_centre.clone(),
             if primary { "primary" } else { "replica" }.to_owned(),
-            if upstream.live { "live" } else { "lapsed" }.to_owned(),
+            state.to_owned(),
             upstream.owners.join(", "),
         ]
     };
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -71,6 +71,10 @@
     pub(crate) config_version: Gauge,
     /// 1 if the host may serve by the configuration in force, else 0.
     pub(crate) config_usable: Gauge,
+    /// The version of the evacuations that the host keeps to.
+    pub(crate) evacuation_version: Gauge,
+    /// The number of data centres that are evacuated, as far as the host knows.
+    pub(crate) evacuated_data_centres: Gauge,
     /// 1 if the host is leaving, else 0.
     pub(crate) leaving: Gauge,
     /// The number of broken links to other hosts, counted once by each part that learns of it.
@@ -109,6 +113,14 @@
                 "config_usable",
                 "Whether the host may serve by the configuration in force",
             ),
+            evacuation_version: gauge(
+                "evacuation_version",
+                "Version of the evacuations that the host keeps to",
+            ),
+            evacuated_data_centres: gauge(
+                "evacuated_data_centres",
+                "Data centres that are evacuated, as far as the host knows",
+            ),
             leaving: gauge("leaving", "Whether the host is leaving"),
             links_down,
             requests: look_up_counters(&requests, request_labels()),
--- a/crates/host/src/metrics_recorder.rs
+++ b/crates/host/src/metrics_recorder.rs
@@ -152,6 +152,10 @@
         self.metrics
             .config_usable
             .set(i64::from(view.config_usable));
+        let version = i64::try_from(view.evacuations.version).unwrap_or(i64::MAX);
+        self.metrics.evacuation_version.set(version);
+        let evacuated = i64::try_from(view.evacuations.closes_at.len()).unwrap_or(i64::MAX);
+        self.metrics.evacuated_data_centres.set(evacuated);
     }
 }
 
--- a/crates/host/src/rpc.rs
+++ b/crates/host/src/rpc.rs
@@ -2,6 +2,7 @@
 
 use decide::call::{Call, Patch, PatchOutcome, Reply};
 use decide::view::FleetStatus;
+use evac::Order;
 use jsonrpsee::core::async_trait;
 use jsonrpsee::types::{ErrorCode, ErrorObjectOwned};
 use model::{Announcement, Config, ConfigVersion, HostId};
@@ -86,4 +87,13 @@
     async fn remove_voter(&self, host: HostId) -> Result<(), ErrorObjectOwned> {
         self.call(Call::RemoveVoter { host }).await.map(|_| ())
     }
+
+    async fn evacuation(&self, order: Order) -> Result<(), ErrorObjectOwned> {
+        if let Err(error) = order.check() {
+            let code = ErrorCode::InvalidParams.code();
+            let error = ErrorObjectOwned::owned(code, error.to_string(), None::<()>);
+            return Err(error);
+        }
+        self.call(Call::Evacuation(order)).await.map(|_| ())
+    }
 }
--- a/crates/peer/src/api.rs
+++ b/crates/peer/src/api.rs
@@ -2,6 +2,7 @@
 
 use decide::call::{Patch, PatchOutcome};
 use decide::view::FleetStatus;
+use evac::Order;
 use jsonrpsee::proc_macros::rpc;
 use jsonrpsee::types::ErrorObjectOwned;
 use model::{Announcement, Config, ConfigVersion, HostId};
@@ -44,6 +45,10 @@
     /// Removes a host from the voters.
     #[method(name = "remove_voter")]
     async fn remove_voter(&self, host: HostId) -> Result<(), ErrorObjectOwned>;
+
+    /// Evacuates a data centre or restores it; succeeds once a quorum has committed the order.
+    #[method(name = "evacuation")]
+    async fn evacuation(&self, order: Order) -> Result<(), ErrorObjectOwned>;
 }
 
 /// Returns the error for a call that was refused before it changed anything.
