host, platform: query instances of an evacuated data centre without markers

Cause: around each status query the platform's adapter sends PREPARE and DEALLOCATE of a marker, which are statements.

Change: a query to an instance of an evacuated data centre gets a connection of its own, so that no copy of an earlier response can come, and is sent without markers.

--- a/crates/host/src/adapter.rs
+++ b/crates/host/src/adapter.rs
@@ -96,6 +96,19 @@
         query: &UpstreamQuery,
     ) -> impl Future<Output = Result<QueryReply, ConnQueryError>>;
 
+    /// Sends a query to an upstream of an evacuated data centre, with no statement of the host's own
+    /// beside it; the connection is new and is closed afterwards.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::query`] does.
+    fn query_alone(
+        &mut self,
+        query: &UpstreamQuery,
+    ) -> impl Future<Output = Result<QueryReply, ConnQueryError>> {
+        self.query(query)
+    }
+
     /// Waits until the idle connection is of no more use, and returns why; loses no bytes if the
     /// future is dropped.
     fn closed(&mut self) -> impl Future<Output = LossReason>;
--- a/crates/host/src/upstream_query.rs
+++ b/crates/host/src/upstream_query.rs
@@ -6,7 +6,7 @@
 
 use decide::upstream_query::{QueryError, QueryId, QueryReply, UpstreamQuery};
 use decide::{Effect, Event, View};
-use model::{HashMap, PartId, UpstreamId};
+use model::{HashMap, HashSet, PartId, UpstreamId};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
@@ -25,6 +25,8 @@
     query: UpstreamQuery,
     /// Whether to close the open connection first and use a new one.
     new_connection: bool,
+    /// Whether it is to be sent alone on a connection, as the data centre is evacuated.
+    alone: bool,
     /// How long connecting and the reply may take together.
     timeout: Duration,
 }
@@ -38,12 +40,12 @@
 ) {
     let mut conn = None;
     while let Some(job) = jobs.recv().await {
-        if job.new_connection {
+        if job.new_connection || job.alone {
             conn = None;
         }
         let id = job.id;
         let result = run_query::<A>(&mut conn, &job, &cfg).await;
-        if result.is_err() {
+        if result.is_err() || job.alone {
             conn = None;
         }
         inboxes.send_event(part, Event::QueryAnswered { id, result });
@@ -62,9 +64,14 @@
             Some(open) => open,
             None => A::connect(&job.target, cfg, job.timeout).await?,
         };
-        let result = conn.insert(open).query(&job.query).await;
+        let open = conn.insert(open);
+        let result = match job.alone {
+            true => open.query_alone(&job.query).await,
+            false => open.query(&job.query).await,
+        };
         // Only a query without an effect may be sent twice: the first one may run after the second.
         if result == Err(ConnQueryError::OutOfStep)
+            && !job.alone
             && matches!(job.query, UpstreamQuery::Status { .. })
         {
             *conn = None;
@@ -89,6 +96,8 @@
     inboxes: Inboxes,
     cfg: Rc<UpstreamSettings>,
     queues: HashMap<UpstreamId, mpsc::UnboundedSender<QueryJob>>,
+    /// The upstreams of evacuated data centres.
+    evacuated: HashSet<UpstreamId>,
     adapter: PhantomData<A>,
 }
 
@@ -100,6 +109,7 @@
             inboxes,
             cfg,
             queues: HashMap::default(),
+            evacuated: HashSet::default(),
             adapter: PhantomData,
         }
     }
@@ -129,6 +139,7 @@
             },
             query,
             new_connection,
+            alone: self.evacuated.contains(&upstream),
             timeout,
         };
         let queue = self.queues.entry(upstream).or_insert_with(|| {
@@ -144,8 +155,14 @@
         let _ = queue.send(job);
     }
 
-    /// Closes the queues of upstreams that are no longer in the view; their tasks then end.
-    pub(crate) fn retain_known(&mut self, view: &View) {
+    /// Closes the queues of upstreams that are no longer in the view, whose tasks then end, and notes
+    /// the upstreams of evacuated data centres.
+    pub(crate) fn apply_view(&mut self, view: &View) {
+        self.evacuated.clear();
+        if !view.evacuations.closes_at.is_empty() {
+            let evacuated = view.upstreams.keys().filter(|id| view.is_evacuated(id));
+            self.evacuated.extend(evacuated.cloned());
+        }
         self.queues
             .retain(|upstream, _| view.upstreams.contains_key(upstream));
     }
