--- a/crates/carawayd/tests/platform_soak.rs
+++ b/crates/carawayd/tests/platform_soak.rs
@@ -112,6 +112,13 @@
     soak(&[Trouble::Hosts], &[CI_SEED], 8).await;
 }
 
+/// Guards against requests that reach the instances of an evacuated data centre more than 5 s after
+/// the acknowledgement, also through hosts that were stopped or have restarted meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_request_reaches_an_evacuated_data_centre() {
+    soak(&[Trouble::Evacuations, Trouble::Hosts], &[CI_SEED], 16).await;
+}
+
 /// Runs the kinds of `SOAK_TROUBLES`, and nothing if it isn't set.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn chosen() {
