--- a/crates/decide/src/spread.rs
+++ b/crates/decide/src/spread.rs
@@ -35,6 +35,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use evac::{EvacEvent, HostEvacuations};
 use model::{Config, ConfigVersion, DataCentreId, HashMap, HostId, HostInfo, PartAddr, UpstreamId};
 
 use crate::ack_lease::AckLeaseHolder;
@@ -120,6 +121,8 @@
     pub(crate) config_usable: bool,
     /// Whether the next view differs from the last one in its configuration.
     pub(crate) view_changed: bool,
+    /// The evacuated data centres.
+    pub(crate) evacuations: HostEvacuations,
     /// Leases of announcements of the upstreams that this host owns.
     pub(crate) leases: AnnouncementLeases,
     /// The versions in force on the hosts below this one.
@@ -165,6 +168,7 @@
             config_usable_until: None,
             config_usable: false,
             view_changed: false,
+            evacuations: HostEvacuations::default(),
             leases: AnnouncementLeases::default(),
             host_versions: HostVersions::new(now),
             ack_lease: AckLeaseHolder::new(now),
@@ -201,10 +205,14 @@
         self.start_once(cx);
         let from = from.host;
         match msg {
-            SpreadMsg::Heartbeat(heartbeat) => self.on_heartbeat(cx, &from, *heartbeat),
-            SpreadMsg::LeasedHeartbeat(heartbeat, lease) => {
+            SpreadMsg::Heartbeat(heartbeat) => self.on_heartbeat(cx, &from, *heartbeat, 0),
+            SpreadMsg::LeasedHeartbeat {
+                heartbeat,
+                lease,
+                evacuations,
+            } => {
                 self.on_ack_lease(cx, &from, heartbeat.echo, *lease);
-                self.on_heartbeat(cx, &from, *heartbeat);
+                self.on_heartbeat(cx, &from, *heartbeat, evacuations);
             }
             SpreadMsg::Facts { position, facts } => self.on_facts(cx, &from, position, facts),
             SpreadMsg::Config(update) => self.on_config_update(cx, &from, *update),
@@ -216,6 +224,11 @@
             SpreadMsg::AskLiveness { host } => self.on_ask_liveness(cx, &from, host),
             SpreadMsg::ConfirmLiveness { host } => self.on_liveness_confirmed(cx, &host),
             SpreadMsg::Unlink => self.on_unlink(&from),
+            SpreadMsg::Evacuations(evacuations) => self.on_evacuations(cx, &from, *evacuations),
+            SpreadMsg::HeartbeatWithEvacuations {
+                heartbeat,
+                evacuations,
+            } => self.on_heartbeat(cx, &from, *heartbeat, evacuations),
         }
         self.finish_event(cx);
     }
@@ -241,6 +254,8 @@
         if let Some(link) = self.links.get_mut(host) {
             link.needs_sync = true;
             link.config_sent = None;
+            link.evacuations_held = 0;
+            link.evacuations_sent = None;
         }
         self.finish_event(cx);
     }
@@ -265,6 +280,9 @@
     /// Records that a quorum has confirmed `version` as current at the moment `at`.
     pub fn on_config_confirmed(&mut self, cx: &mut Cx<'_>, version: ConfigVersion, at: Instant) {
         self.config.record_confirmation(version, at);
+        let version = self.evacuations.version();
+        self.evacuations
+            .reduce(cx.now, EvacEvent::Confirmed { version, at });
         self.finish_event(cx);
     }
 
@@ -293,6 +311,7 @@
             hosts_revision: Some(self.tables.hosts_revision()),
             upstreams,
             services: self.tables.services().clone(),
+            evacuations: self.evacuations.in_force().clone(),
         }
     }
 
@@ -329,6 +348,7 @@
     /// of its links and of the hosts below it in the tree.
     pub fn fleet_status(&self, now: Instant) -> FleetStatus {
         let age = self.config.confirmation_age(now);
+        let evacuated = self.evacuations.in_force().closes_at.keys();
         FleetStatus {
             host: self.me.host.to_string(),
             version: self.config.in_force().map_or(0, |config| config.version),
@@ -336,6 +356,8 @@
             hosts: self.host_rows(),
             services: self.service_rows(),
             raft: None,
+            evacuations: self.evacuations.version(),
+            evacuated: evacuated.map(ToString::to_string).collect(),
         }
     }
 
@@ -400,7 +422,7 @@
     }
 
     /// Emits the addresses of the seeds and publishes this host's first fact, on the first event.
-    fn start_once(&mut self, cx: &mut Cx<'_>) {
+    pub(crate) fn start_once(&mut self, cx: &mut Cx<'_>) {
         if self.is_started {
             return;
         }
--- a/crates/decide/src/spread/heartbeat.rs
+++ b/crates/decide/src/spread/heartbeat.rs
@@ -1,5 +1,6 @@
 //! Heartbeats over the links, and the choice of the hosts to have links to.
 
+use evac::EvacuationVersion;
 use model::{DataCentreId, HostId};
 
 use crate::Cx;
@@ -215,11 +216,7 @@
         };
         let link = self.links.get(host).filter(|_| is_answer);
         let lease = link.and_then(|link| self.lease_for_child(cx, link));
-        let heartbeat = Box::new(heartbeat);
-        let msg = match lease {
-            Some(lease) => SpreadMsg::LeasedHeartbeat(heartbeat, lease),
-            None => SpreadMsg::Heartbeat(heartbeat),
-        };
+        let msg = self.heartbeat_msg(heartbeat, lease);
         cx.send_control(host, msg);
     }
 
@@ -278,14 +275,23 @@
             sync_request: None,
             config: self.config.status(cx.now),
         };
-        cx.send_control(host, SpreadMsg::Heartbeat(Box::new(heartbeat)));
+        let msg = self.heartbeat_msg(heartbeat, None);
+        cx.send_control(host, msg);
     }
 
     /// Handles a heartbeat or the answer to one.
     ///
     /// Without a link to the sender, one is made if the sender takes this host as a parent, or if
     /// an unknown host contacts this one, which then takes it as its parent.
-    pub(crate) fn on_heartbeat(&mut self, cx: &mut Cx<'_>, from: &HostId, heartbeat: Heartbeat) {
+    ///
+    /// `evacuations` is the version of the evacuations that the sender holds.
+    pub(crate) fn on_heartbeat(
+        &mut self,
+        cx: &mut Cx<'_>,
+        from: &HostId,
+        heartbeat: Heartbeat,
+        evacuations: EvacuationVersion,
+    ) {
         if self.unresponsive.remove(from).is_some() {
             self.tree_stale = true;
         }
@@ -336,7 +342,7 @@
                 self.report_all_versions(cx, from);
             }
         }
-        self.on_config_status(cx, from, heartbeat.echo, heartbeat.config);
+        self.on_config_status(cx, from, heartbeat.echo, heartbeat.config, evacuations);
         if !heartbeat.is_answer {
             self.send_heartbeat(cx, from, true);
         } else if sync_now {
--- a/crates/decide/src/spread/msg.rs
+++ b/crates/decide/src/spread/msg.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use evac::{EvacuationVersion, Evacuations};
 use model::{Announcement, Config, ConfigVersion, HostId, Incarnation, UpstreamId};
 use serde::{Deserialize, Serialize};
 
@@ -50,7 +51,23 @@
     /// The answer to a child's heartbeat, with the lease by which acknowledgements are passed on.
     ///
     /// It is sent only with the setting `group.ack_lease`, since earlier versions don't know it.
-    LeasedHeartbeat(Box<Heartbeat>, Box<AckLeaseMsg>),
+    LeasedHeartbeat {
+        /// The answer.
+        heartbeat: Box<Heartbeat>,
+        /// The lease.
+        lease: Box<AckLeaseMsg>,
+        /// Version of the evacuations that the sender holds, 0 if it knows of none.
+        evacuations: EvacuationVersion,
+    },
+    /// The evacuated data centres that the sender knows of.
+    Evacuations(Box<Evacuations>),
+    /// A heartbeat, or the answer to one, of a host that knows of evacuations.
+    HeartbeatWithEvacuations {
+        /// The heartbeat.
+        heartbeat: Box<Heartbeat>,
+        /// Version of the evacuations that the sender holds.
+        evacuations: EvacuationVersion,
+    },
 }
 
 /// A heartbeat, or the answer to one.
