decide, test: a lag and a burst leave a lasting overload

Both replicas lag for 6 s, then callers send 1.7 times the load for 3 s, while idle transactions hold most connections to the primary for 5 s. The load of 250 requests a second is served in full before.

The bounds follow from what the instances can run.

--- /dev/null
+++ b/crates/decide/tests/overload.rs
@@ -0,0 +1,78 @@
+//! Replicas that lag, and then a burst: what is lost must come back when the cause has ended.
+#![allow(clippy::unwrap_used, reason = "a test that meets an error ends there")]
+
+mod overload_world;
+
+use std::time::Duration;
+
+use decide::Settings;
+use decide::owner::CapacitySource;
+use overload_world::{Day, Second, World, primary_capacity};
+
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+const fn secs(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn settings() -> Settings {
+    let mut settings = Settings::default();
+    settings.session.hedge_after = Some(Duration::from_millis(150));
+    settings.session.check_owner_after = Some(Duration::from_millis(100));
+    settings.owner.capacity = CapacitySource::Announced;
+    settings.owner.transaction_share = 0.8;
+    settings.owner.idle_timeout = secs(50);
+    settings.grant.max_wait = Duration::from_millis(40);
+    settings
+}
+
+fn play(day: &Day, settings: &Settings, seed: u64) -> Vec<Second> {
+    let mut world = World::new(day.clone(), settings, seed);
+    world.play();
+    for (second, state) in world.seconds.iter().enumerate() {
+        println!("seed {seed}, second {second}: {state:?}");
+    }
+    world.seconds
+}
+
+/// Returns the fraction of the operations of some seconds that were answered in time.
+fn served(seconds: &[Second]) -> f64 {
+    let offered: u32 = seconds.iter().map(|second| second.offered).sum();
+    let served: u32 = seconds.iter().map(|second| second.served).sum();
+    f64::from(served) / f64::from(offered)
+}
+
+/// Guards against an overload that feeds itself: reads that moved to the primary need connections
+/// of their workspaces there, each new connection takes a slot and the place of another, busy
+/// responses close connections, and each owner that is avoided and each hedge adds load.
+#[test]
+fn load_that_the_instances_can_run_is_served_again_after_a_lag_and_a_burst() {
+    let day = Day {
+        requests_per_s: 250.0,
+        lag: secs(5)..secs(11),
+        burst: secs(11)..secs(14),
+        burst_factor: 1.7,
+        idle_transactions: secs(9)..secs(14),
+        length: secs(24),
+    };
+    // While both replicas lag, the primary alone can run nearly all of the load; and at the worst
+    // each statement needs a new connection, which takes a slot too.
+    let runnable = primary_capacity() / day.requests_per_s;
+    for seed in SEEDS {
+        let seconds = play(&day, &settings(), seed);
+        let parts = [
+            ("before", &seconds[2..5], 0.99),
+            ("lag", &seconds[5..11], runnable),
+            ("burst", &seconds[11..14], 0.95),
+            ("after", &seconds[16..24], 0.99),
+        ];
+        let parts = parts.map(|(part, seconds, least)| (part, served(seconds), least));
+        println!("seed {seed}: part, fraction served, at least: {parts:.4?}");
+        for (part, served, least) in parts {
+            assert!(
+                served >= least,
+                "seed {seed}: {part}: {served:.4} of the load was served, less than {least:.4}"
+            );
+        }
+    }
+}
