entry: a hedged read whose attempts were only bounced has not run

Cause: a hedge marked the read as "may have run" for good, although both attempts could still be bounced without having run; so could a refusal by one owner end a read that the other one still ran, as "not run". Instances that only answered busy thus left callers with "may have run".

Change: an attempt that has not ended may have run, and one that was bounced may have only if the bounce says so: an answer that can't be confirmed, or a replica that was behind where claims are granted. Where capacity is announced, the instance has refused such a read before it ran. A refusal of one of two attempts leaves the other to answer.

--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -27,6 +27,7 @@
 };
 use crate::entry::pick::Router;
 use crate::grant::PartTokenGrant;
+use crate::owner::CapacitySource;
 use crate::relay::{Bounce, RelayMsg, RunRequest};
 use crate::route::ReadPolicy;
 use crate::session::{SessionLogEvent, SessionPin, Sessions, lets_transaction_end};
@@ -291,9 +292,15 @@
         answer: Answer,
         pin: Option<ConnId>,
     ) {
-        let Some((pending, other)) = self.requests.remove_answered(id) else {
+        let Some((mut pending, other)) = self.requests.remove_answered(id) else {
             return;
         };
+        if let (Verdict::NotRun(refusal), Some((other_id, target))) = (answer.verdict, &other) {
+            // The other attempt of a hedged read may run, or have run.
+            pending.last_refusal = refusal;
+            pending.target = Some(target.clone());
+            return self.requests.insert(*other_id, pending);
+        }
         if let Some((id, target)) = other {
             cx.send(target.owner, RelayMsg::Cancel { id });
         }
@@ -310,6 +317,9 @@
             });
             session.floor = session.floor.max(answer.position);
         }
+        if pending.may_have_run && matches!(answer.verdict, Verdict::NotRun(_)) {
+            return answer_without_result(cx, sessions, pending, answer.verdict);
+        }
         answer_caller(cx, sessions, &pending, answer);
     }
 
@@ -323,7 +333,12 @@
         id: RequestId,
         why: Bounce,
     ) {
-        if self.requests.drop_earlier_attempt(id) {
+        let may_have_run = match &why {
+            // Where claims are granted, a replica's read runs before the age of its data is known.
+            Bounce::Behind => cx.settings.owner.capacity == CapacitySource::Claimed,
+            why => *why == Bounce::Unproved,
+        };
+        if self.requests.drop_earlier_attempt(id, may_have_run) {
             return;
         }
         let Some(mut pending) = self.requests.remove(id) else {
@@ -339,6 +354,7 @@
             let verdict = Verdict::NotRun(Refusal::TransactionLost);
             return answer_without_result(cx, sessions, pending, verdict);
         }
+        pending.may_have_run |= may_have_run;
         match why {
             Bounce::Refused(refusal) => {
                 return answer_without_result(cx, sessions, pending, Verdict::NotRun(refusal));
@@ -346,7 +362,6 @@
             Bounce::Behind => {
                 self.router.failures.record_behind(cx.now, &target.upstream);
                 pending.last_refusal = Refusal::NoUpstream;
-                pending.may_have_run = true;
                 // A second bounce shows that no upstream has the position yet.
                 if !std::mem::replace(&mut pending.replica_behind, true) {
                     return self.send_or_park(cx, view, sessions, pending);
@@ -362,7 +377,6 @@
                 }
             }
             Bounce::NotOwner | Bounce::Unavailable | Bounce::Unproved => {
-                pending.may_have_run |= why == Bounce::Unproved;
                 let owner = &target.owner.host;
                 self.router
                     .failures
--- a/crates/decide/src/entry/hedge.rs
+++ b/crates/decide/src/entry/hedge.rs
@@ -53,7 +53,6 @@
             owner: owner.clone(),
             waited: cx.now.saturating_duration_since(pending.received_at),
         });
-        pending.may_have_run = true;
         pending.earlier_attempt = Some((id, target));
         self.send_or_park(cx, view, sessions, pending);
     }
--- a/crates/decide/src/entry/pending.rs
+++ b/crates/decide/src/entry/pending.rs
@@ -53,7 +53,7 @@
     /// Whether its caller has been answered, and only the end of the attempt is awaited, to roll
     /// back what it opens.
     pub(crate) answered: bool,
-    /// Whether an attempt may have run, so that the answer "not run" would be wrong.
+    /// Whether an attempt that has ended may have run, so that the answer "not run" would be wrong.
     pub(crate) may_have_run: bool,
 }
 
@@ -135,15 +135,17 @@
         Some((pending, earlier))
     }
 
-    /// Drops the earlier attempt of a hedged request, since it did not run.
+    /// Drops the earlier attempt of a hedged request, which was bounced; `may_have_run` says whether
+    /// it may have run all the same.
     ///
     /// Returns whether the number is that of such an attempt.
-    pub(crate) fn drop_earlier_attempt(&mut self, id: RequestId) -> bool {
+    pub(crate) fn drop_earlier_attempt(&mut self, id: RequestId, may_have_run: bool) -> bool {
         let Some(newest) = self.newest_by_earlier.remove(&id) else {
             return false;
         };
         if let Some(pending) = self.by_attempt.get_mut(&newest) {
             pending.earlier_attempt = None;
+            pending.may_have_run |= may_have_run;
         }
         true
     }
@@ -215,7 +217,7 @@
 
 /// Answers a caller without a result of an upstream.
 ///
-/// "Not run" becomes "may have run" if an earlier attempt may have run.
+/// "Not run" becomes "may have run" if an earlier attempt may have run, or has not ended.
 pub(crate) fn answer_without_result(
     cx: &mut Cx<'_>,
     sessions: &mut Sessions,
@@ -223,7 +225,9 @@
     verdict: Verdict,
 ) {
     let verdict = match verdict {
-        Verdict::NotRun(_) if pending.may_have_run => Verdict::MayHaveRun,
+        Verdict::NotRun(_) if pending.may_have_run || pending.earlier_attempt.is_some() => {
+            Verdict::MayHaveRun
+        }
         verdict => verdict,
     };
     let pinned = sessions
--- a/crates/decide/src/relay.rs
+++ b/crates/decide/src/relay.rs
@@ -72,7 +72,7 @@
         primary: Option<(Term, UpstreamId)>,
     },
     /// The upstream has not reached the floor (the log position that the session's reads must see),
-    /// or its data is too old; a read may have run.
+    /// or its data is too old; where claims are granted, a read may have run.
     Behind,
     /// The upstream can't be reached, or writes on it can't be confirmed.
     Unavailable,
