owner: a rejected request tells nothing of its service time

Cause: the time until an upstream refused a request (busy, behind, not the primary) was recorded as the service time of its workspace. Under overload the average fell to that of a rejection, so that the queue admitted requests that could not run before their deadlines.

Change: the charge of a rejected request is given back.

--- a/crates/decide/src/owner/conn_events.rs
+++ b/crates/decide/src/owner/conn_events.rs
@@ -193,8 +193,13 @@
         };
         let took = cx.now.duration_since(running.started_at);
         let workspace = &running.job.run.req.workspace;
-        self.queue
-            .record_service_time(workspace, running.charge, took);
+        match outcome.rejected {
+            // The time of a rejection says nothing of the time that the request takes if it runs.
+            Some(_) => self.queue.refund(workspace, running.charge),
+            None => self
+                .queue
+                .record_service_time(workspace, running.charge, took),
+        }
         self.last_answer_at = Some(cx.now);
         self.breaker.on_success();
         for status in outcome.status_before.iter().chain(&outcome.status_after) {
