owner: open missing connections in the order of the queue

Cause: where connections belong to workspaces, missing ones were opened in order of the workspaces' names. Under overload the first names got a connection with each event, whoever waited longest, and each new one took the place of an idle connection that another workspace was about to use.

Change: the keys keep the order of the queue, in which the next turns come first.

--- a/crates/decide/src/owner/connections.rs
+++ b/crates/decide/src/owner/connections.rs
@@ -7,7 +7,6 @@
 //!   answer carries its position.
 //! - Pool key: the workspace whose requests a connection serves, or none if all share it.
 
-use std::collections::BTreeMap;
 use std::time::Instant;
 
 use model::ConnId;
@@ -70,14 +69,18 @@
             return Vec::new();
         }
         let free_slots = (claim.slots as usize).saturating_sub(self.running.len());
-        let mut wanted: BTreeMap<PoolKey, usize> = BTreeMap::new();
+        // In the order of the queue, so that no key is served first for its name.
+        let mut wanted: Vec<(PoolKey, usize)> = Vec::new();
         if settings.capacity == CapacitySource::Claimed {
             let count = self.queue.len().min(free_slots);
-            wanted.insert(None, count.max(settings.warm_connections as usize));
+            wanted.push((None, count.max(settings.warm_connections as usize)));
         } else {
             for job in self.queue.items().filter(|job| job.run.pin.is_none()) {
-                let count = wanted.entry(settings.pool_key(&job.run.req)).or_default();
-                *count = (*count + 1).min(free_slots.max(1));
+                let key = settings.pool_key(&job.run.req);
+                match wanted.iter_mut().find(|(other, _)| *other == key) {
+                    Some((_, count)) => *count = (*count + 1).min(free_slots.max(1)),
+                    None => wanted.push((key, 1)),
+                }
             }
         }
         let missing = wanted.into_iter().map(|(key, wanted)| {
