owner: limit what runs and opens at an instance to what it accepts

Cause: an owner dispatched up to all slots whatever the instance answered, put a busy request back at once, bounced it the second time as a failure of the instance, and opened a connection for each workspace with a queued request at the same time. The openings fill the instance's queue, as each takes a slot for 12 ms, and each closed an idle connection that another queued request was about to use. On the deployment with hundreds of callers for each instance this outlasted its cause.

Openings are limited to half of it. A busy request stays in the queue, before the others of its workspace, and is held against nobody. An idle connection whose workspace has a queued request is not closed for another workspace.

--- a/crates/decide/src/owner/conn_events.rs
+++ b/crates/decide/src/owner/conn_events.rs
@@ -193,12 +193,19 @@
         };
         let took = cx.now.duration_since(running.started_at);
         let workspace = &running.job.run.req.workspace;
+        let slots = self.claimed_slots(cx.now);
         match outcome.rejected {
             // The time of a rejection says nothing of the time that the request takes if it runs.
             Some(_) => self.queue.refund(workspace, running.charge),
-            None => self
-                .queue
-                .record_service_time(workspace, running.charge, took),
+            None => {
+                self.queue
+                    .record_service_time(workspace, running.charge, took);
+                self.limit.on_success(slots);
+            }
+        }
+        let limits = cx.settings.room.limit_concurrency;
+        if limits && outcome.rejected == Some(UpstreamRejection::Busy) {
+            self.limit.on_busy(cx.now, running.started_at, slots);
         }
         self.last_answer_at = Some(cx.now);
         self.breaker.on_success();
@@ -256,6 +263,9 @@
         }
         match verdict {
             Err(UnusableOutcome::Behind) => running.job.bounce(cx, Bounce::Behind),
+            Err(UnusableOutcome::Busy) if limits => {
+                self.push_job(running.job, true);
+            }
             Err(UnusableOutcome::Busy) => self.requeue(cx, running.job),
             Err(UnusableOutcome::NotPrimary) => running.job.bounce(cx, self.not_primary_bounce()),
             Err(UnusableOutcome::TransactionLost) => {
--- a/crates/decide/src/owner/connections.rs
+++ b/crates/decide/src/owner/connections.rs
@@ -9,7 +9,7 @@
 
 use std::time::Instant;
 
-use model::ConnId;
+use model::{ConnId, HashSet};
 
 use crate::owner::SharedState;
 use crate::owner::log_event::OwnerLogEvent;
@@ -69,7 +69,7 @@
             return Vec::new();
         }
         let free_slots = (claim.slots as usize).saturating_sub(self.running.len());
-        // In the order of the queue, so that no key is served first for its name.
+        // In order of the queue, so that no key is served first for its name.
         let mut wanted: Vec<(PoolKey, usize)> = Vec::new();
         if settings.capacity == CapacitySource::Claimed {
             let count = self.queue.len().min(free_slots);
@@ -102,9 +102,14 @@
             return;
         }
         let half_open = self.breaker.is_half_open();
+        let opens = self.usable_opens(cx);
+        let kept = self.keys_to_keep(cx);
         for (key, missing) in missing_by_key {
             for _ in 0..missing {
-                if (half_open && self.pool.opening_count() > 0) || !self.make_room(cx, shared, &key)
+                let opening = self.pool.opening_count();
+                if (half_open && opening > 0)
+                    || opening >= opens
+                    || !self.make_room(cx, shared, &key, &kept)
                 {
                     return;
                 }
@@ -113,16 +118,41 @@
         }
     }
 
+    /// Returns how many connections may be opened at a time, since each takes a slot meanwhile.
+    fn usable_opens(&self, cx: &Cx<'_>) -> usize {
+        match cx.settings.room.limit_concurrency {
+            true => self.limit.allowed_opens(cx.now, self.claimed_slots(cx.now)) as usize,
+            false => usize::MAX,
+        }
+    }
+
+    /// Returns the pool keys that queued requests wait for: an idle connection of theirs is about
+    /// to be used, and would have to be opened again if it were closed for another key.
+    fn keys_to_keep(&self, cx: &Cx<'_>) -> HashSet<PoolKey> {
+        let settings = &cx.settings.owner;
+        let queued = self
+            .queue
+            .items()
+            .filter(|_| cx.settings.room.limit_concurrency);
+        queued.map(|job| settings.pool_key(&job.run.req)).collect()
+    }
+
     /// Returns whether one more connection may be opened; at the claim's limit, closes an idle
-    /// connection of another key for it.
-    fn make_room(&mut self, cx: &mut Cx<'_>, shared: &mut SharedState, key: &PoolKey) -> bool {
+    /// connection of another key for it, but none of those to keep.
+    fn make_room(
+        &mut self,
+        cx: &mut Cx<'_>,
+        shared: &mut SharedState,
+        key: &PoolKey,
+        kept: &HashSet<PoolKey>,
+    ) -> bool {
         let limit = self
             .active_claim(cx.now)
             .map_or(0, |claim| claim.connections);
         if self.pool.len() < limit as usize {
             return true;
         }
-        let Some(conn) = self.pool.evict_other_key(key) else {
+        let Some(conn) = self.pool.evict_other_key(key, kept) else {
             return false;
         };
         self.close_conn(cx, shared, conn, "other-workspace");
--- a/crates/decide/src/owner/dispatch.rs
+++ b/crates/decide/src/owner/dispatch.rs
@@ -45,7 +45,10 @@
     /// Queues a request, or refuses it if it is not expected to run before its deadline.
     pub(crate) fn enqueue(&mut self, cx: &mut Cx<'_>, job: Job) {
         let urgent = job.run.pin.is_some();
-        let slots = self.active_claim(cx.now).map_or(1, |claim| claim.slots);
+        let mut slots = self.claimed_slots(cx.now).max(1);
+        if cx.settings.room.limit_concurrency {
+            slots = self.limit.limit(slots);
+        }
         let ahead = self.queue.expected_wait(&job.run.req.workspace, urgent) / slots;
         let wait_bound = ahead + ahead / WAIT_MARGIN_DIVISOR;
         if !ahead.is_zero() && cx.now + wait_bound + self.min_time_left(&job) > job.deadline {
@@ -80,6 +83,7 @@
     /// requests, and opens and closes connections.
     pub(crate) fn reconcile(&mut self, cx: &mut Cx<'_>, shared: &mut SharedState) {
         self.claim.take_if(|(_, until)| *until <= cx.now);
+        self.limit.on_tick(cx.now);
         self.refuse_expired(cx);
         self.end_drain_if_due(cx);
         if !self.accepts_work(cx.now) {
@@ -138,9 +142,7 @@
 
     /// Starts queued requests while slots and connections are free.
     fn dispatch(&mut self, cx: &mut Cx<'_>) {
-        let slots = self
-            .active_claim(cx.now)
-            .map_or(0, |claim| claim.slots as usize);
+        let slots = self.usable_slots(cx);
         while self.running.len() < slots {
             let (running, pool) = (&self.running, &self.pool);
             let settings = &cx.settings.owner;
--- a/crates/decide/src/owner/upstream.rs
+++ b/crates/decide/src/owner/upstream.rs
@@ -18,6 +18,7 @@
     Claim, ConnId, HashMap, InstanceStatus, Kind, Position, Request, Role, ServiceId, Term,
     UpstreamId,
 };
+use room::ConcurrencyLimit;
 
 use crate::breaker::Breaker;
 use crate::event::ProbeResult;
@@ -68,6 +69,8 @@
     /// The open transactions.
     pub(crate) pins: HashMap<ConnId, Pin>,
     pub(crate) breaker: Breaker,
+    /// How many statements may run at a time, by the instance's busy responses.
+    pub(crate) limit: ConcurrencyLimit,
     /// When connections may be opened again after a failure.
     pub(crate) next_open_at: Option<Instant>,
     /// When the upstream last answered a request.
@@ -102,6 +105,7 @@
             running: HashMap::default(),
             pins: HashMap::default(),
             breaker: Breaker::default(),
+            limit: ConcurrencyLimit::default(),
             next_open_at: None,
             last_answer_at: None,
             primary_position: None,
@@ -115,6 +119,21 @@
         (now < *until && claim.slots > 0).then_some(claim)
     }
 
+    /// Returns how many slots the claim grants; 0 without an active claim.
+    pub(crate) fn claimed_slots(&self, now: Instant) -> u32 {
+        self.active_claim(now).map_or(0, |claim| claim.slots)
+    }
+
+    /// Returns how many statements may run at a time now: the slots of the claim, but no more than
+    /// the instance has been shown to accept where the setting `room.limit_concurrency` is on.
+    pub(crate) fn usable_slots(&self, cx: &Cx<'_>) -> usize {
+        let slots = self.claimed_slots(cx.now);
+        match cx.settings.room.limit_concurrency && slots > 0 {
+            true => self.limit.allowed(cx.now, slots) as usize,
+            false => slots as usize,
+        }
+    }
+
     /// Returns whether it accepts requests outside of open transactions.
     pub(crate) fn accepts_work(&self, now: Instant) -> bool {
         let is_drained = self.drain.has_ended(now);
@@ -240,6 +259,7 @@
             self.pins_wake_at(),
             self.next_open_at,
             self.drain.wake_at(),
+            self.limit.wake_at(),
         ];
         all.into_iter().flatten().min()
     }
--- a/crates/decide/src/pool.rs
+++ b/crates/decide/src/pool.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Instant;
 
-use model::{ConnId, HashMap, WorkspaceId};
+use model::{ConnId, HashMap, HashSet, WorkspaceId};
 
 /// Whose requests a connection may run: those of one workspace, or with `None` those of all.
 pub(crate) type PoolKey = Option<WorkspaceId>;
@@ -49,9 +49,15 @@
         self.idle.remove(index).map(|idle| idle.conn)
     }
 
-    /// Removes the longest idle connection of any other key from the idle ones, to be closed.
-    pub(crate) fn evict_other_key(&mut self, key: &PoolKey) -> Option<ConnId> {
-        let index = self.idle.iter().position(|idle| idle.key != *key)?;
+    /// Removes the longest idle connection of any other key from the idle ones, to be closed;
+    /// `kept` are keys whose connections stay.
+    pub(crate) fn evict_other_key(
+        &mut self,
+        key: &PoolKey,
+        kept: &HashSet<PoolKey>,
+    ) -> Option<ConnId> {
+        let is_spare = |idle: &IdleConn| idle.key != *key && !kept.contains(&idle.key);
+        let index = self.idle.iter().position(is_spare)?;
         self.idle.remove(index).map(|idle| idle.conn)
     }
 
--- a/crates/decide/src/settings.rs
+++ b/crates/decide/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of all features; each feature's module defines its type and defaults.
 
+use room::RoomSettings;
 use serde::{Deserialize, Serialize};
 
 use crate::grant::GrantSettings;
@@ -25,4 +26,6 @@
     pub spread: SpreadSettings,
     /// Distribution of workspaces' rates over the hosts.
     pub grant: GrantSettings,
+    /// Capacity under pressure.
+    pub room: RoomSettings,
 }
--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -23,6 +23,7 @@
     settings.owner.transaction_share = 0.8;
     settings.owner.idle_timeout = secs(50);
     settings.grant.max_wait = Duration::from_millis(40);
+    settings.room.limit_concurrency = true;
     settings
 }
 
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -11,6 +11,7 @@
 use decide::session::SessionSettings;
 use decide::spread::SpreadSettings;
 use model::{DataCentreId, HostId};
+use room::RoomSettings;
 use serde::{Deserialize, Serialize};
 
 /// The settings of a host.
@@ -62,6 +63,8 @@
     pub spread: SpreadSettings,
     /// Rate limits of workspaces, and their shares for hosts.
     pub grant: GrantSettings,
+    /// Capacity under pressure.
+    pub room: RoomSettings,
 }
 
 impl HostSettings {
@@ -83,6 +86,7 @@
             raft: self.raft.clone(),
             spread: self.spread.clone(),
             grant: self.grant.clone(),
+            room: self.room.clone(),
         }
     }
 }
@@ -112,6 +116,7 @@
             raft: RaftSettings::default(),
             spread: SpreadSettings::default(),
             grant: GrantSettings::default(),
+            room: RoomSettings::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/room/src/settings.rs
@@ -0,0 +1,11 @@
+//! Settings of capacity under pressure.
+
+use serde::{Deserialize, Serialize};
+
+/// Settings of capacity under pressure.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RoomSettings {
+    /// Whether an owner starts no more at an instance than that has been shown to accept.
+    pub limit_concurrency: bool,
+}
