owner: rank queued requests, and refuse those that can't meet their objective

Cause: a queue was served by workspace alone. Under overload a slot went to the request that had waited longest, so that nearly all answers were late, and requests were admitted up to their deadlines by an expected wait that knew neither the other owner's statements nor openings of connections.

A request is refused before it is queued if its expected wait exceeds its objective; the wait takes the measured pace of the queue into account. Late requests are refused while others can be in time and wait for every slot. The share of each workspace stays as it was: the test of the queue with ranks holds it to 5 %.

--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -22,9 +22,9 @@
 pub(crate) mod unconfirmed;
 pub(crate) mod upstream;
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use model::{ConnId, HashMap, HostId, PartAddr, UpstreamId};
+use model::{ConnId, HashMap, HostId, PartAddr, Request, UpstreamId};
 
 use crate::conn::ConnEvent;
 use crate::event::ProbeResult;
@@ -138,9 +138,12 @@
 
     /// Queues or starts a request of an entry host, or sends it back.
     pub fn on_run(&mut self, cx: &mut Cx<'_>, view: &View, from: PartAddr, run: RunRequest) {
+        let deadline = cx.now + run.req.timeout;
         let job = Job {
             from,
-            deadline: cx.now + run.req.timeout,
+            deadline,
+            objective_at: objective_at(view, &run.req, deadline),
+            cost: Duration::ZERO,
             run,
             attempts: 0,
         };
@@ -314,3 +317,14 @@
         self.shared.unconfirmed.is_empty() && upstreams.into_iter().all(Upstream::is_drained)
     }
 }
+
+/// Returns when the latency objective of a request's route passes, or its deadline without one.
+///
+/// The route's timeout and objective count from the same moment.
+fn objective_at(view: &View, req: &Request, deadline: Instant) -> Instant {
+    let access = req.access.as_ref();
+    let route = access.and_then(|access| view.config.routes.get(&access.route));
+    let left = route.map(|route| route.timeout.saturating_sub(route.objective));
+    left.and_then(|left| deadline.checked_sub(left))
+        .unwrap_or(deadline)
+}
--- a/crates/decide/src/owner/dispatch.rs
+++ b/crates/decide/src/owner/dispatch.rs
@@ -43,15 +43,21 @@
     }
 
     /// Queues a request, or refuses it if it is not expected to run before its deadline.
-    pub(crate) fn enqueue(&mut self, cx: &mut Cx<'_>, job: Job) {
+    pub(crate) fn enqueue(&mut self, cx: &mut Cx<'_>, mut job: Job) {
+        job.cost = self.queue.expected_cost(&job.run.req.workspace);
         let urgent = job.run.pin.is_some();
         let mut slots = self.claimed_slots(cx.now).max(1);
         if cx.settings.room.limit_concurrency {
             slots = self.limit.limit(slots);
         }
-        let ahead = self.queue.expected_wait(&job.run.req.workspace, urgent) / slots;
+        let ahead = self.expected_wait(cx, &job, urgent, slots);
         let wait_bound = ahead + ahead / WAIT_MARGIN_DIVISOR;
-        if !ahead.is_zero() && cx.now + wait_bound + self.min_time_left(&job) > job.deadline {
+        let by_objective = cx.settings.room.rank_requests && !job.waiting(cx.now).is_late();
+        let latest = match by_objective {
+            true => job.objective_at,
+            false => job.deadline,
+        };
+        if !ahead.is_zero() && cx.now + wait_bound + self.min_time_left(&job) > latest {
             return job.refuse(cx, Refusal::Overloaded, "deadline-out-of-reach");
         }
         let request = job.for_log();
@@ -59,6 +65,39 @@
         self.push_job(job, urgent);
     }
 
+    /// Returns how long a new request is expected to wait for one of some slots.
+    fn expected_wait(&self, cx: &Cx<'_>, job: &Job, urgent: bool, slots: u32) -> Duration {
+        let workspace = &job.run.req.workspace;
+        if !cx.settings.room.rank_requests {
+            return self.queue.expected_wait(workspace, urgent) / slots;
+        }
+        let rank = job.waiting(cx.now).rank();
+        let goes_ahead = |other: &Job| other.waiting(cx.now).rank() <= rank;
+        let ahead = self
+            .queue
+            .expected_wait_behind(workspace, urgent, goes_ahead);
+        self.pace.expected_wait(ahead, slots)
+    }
+
+    /// Refuses the queued requests that can't meet their objective any more, while others that can
+    /// wait for every slot.
+    ///
+    /// Under overload the oldest requests are late. If they ran, those behind them would be late
+    /// when their turn comes, and so would be all that follow.
+    fn refuse_late(&mut self, cx: &mut Cx<'_>) {
+        if !cx.settings.room.rank_requests {
+            return;
+        }
+        let now = cx.now;
+        let in_time = self.queue.items().filter(|job| !job.waiting(now).is_late());
+        if in_time.count() < self.claimed_slots(now).max(1) as usize {
+            return;
+        }
+        for job in self.queue.drain_where(|job| job.waiting(now).is_late()) {
+            job.refuse(cx, Refusal::Overloaded, "objective-missed");
+        }
+    }
+
     /// Adds a request to the queue; an urgent one goes before the rest of its workspace.
     pub(crate) fn push_job(&mut self, job: Job, urgent: bool) {
         let deadline = job.deadline;
@@ -90,6 +129,7 @@
             self.stop_work(cx, shared);
         }
         self.dispatch(cx);
+        self.refuse_late(cx);
         if self.queue.is_empty() {
             self.queue_expires_at = None;
         }
@@ -147,13 +187,21 @@
             let (running, pool) = (&self.running, &self.pool);
             let settings = &cx.settings.owner;
             let may_open_transaction = self.has_transaction_room(cx);
-            let popped = self.queue.pop(|job| match job.run.pin {
+            let eligible = |job: &Job| match job.run.pin {
                 Some(conn) => !running.contains_key(&conn),
                 None => {
                     let free = pool.has_idle(&settings.pool_key(&job.run.req));
                     free && (may_open_transaction || !job.opens_transaction())
                 }
-            });
+            };
+            let popped = match cx.settings.room.rank_requests {
+                true => {
+                    let rank = |job: &Job| job.waiting(cx.now).rank();
+                    self.queue
+                        .pop_ranked(|job| eligible(job).then(|| rank(job)))
+                }
+                false => self.queue.pop(eligible),
+            };
             let Some(popped) = popped else {
                 return;
             };
@@ -182,6 +230,9 @@
                 return job.bounce(cx, fit.err().unwrap_or(Bounce::Unavailable));
             }
         };
+        let slots = self.claimed_slots(cx.now);
+        self.pace
+            .on_start(cx.now, charge, slots, !self.queue.is_empty());
         let key = cx.settings.owner.pool_key(&job.run.req);
         let Some(conn) = job.run.pin.or_else(|| self.pool.check_out(&key)) else {
             return job.bounce(cx, Bounce::Unavailable);
--- a/crates/decide/src/owner/job.rs
+++ b/crates/decide/src/owner/job.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use model::{Answer, ConnId, Kind, PartAddr, Refusal, Role, Term, TxStatus, Verdict};
+use room::Waiting;
 
 use crate::Cx;
 use crate::owner::log_event::{LoggedRequest, OwnerLogEvent};
@@ -17,6 +18,10 @@
     pub(crate) run: RunRequest,
     /// When the caller stops waiting.
     pub(crate) deadline: Instant,
+    /// When its caller's latency objective passes; its deadline if no route sets an objective.
+    pub(crate) objective_at: Instant,
+    /// The service time that was expected of it when it was queued.
+    pub(crate) cost: Duration,
     /// How often it was given back before it ran, by a broken connection or a busy upstream.
     pub(crate) attempts: u32,
 }
@@ -55,6 +60,16 @@
 }
 
 impl Job {
+    /// Returns what decides on it while it waits.
+    pub(crate) fn waiting(&self, now: Instant) -> Waiting {
+        Waiting {
+            priority: self.run.req.priority,
+            continues_transaction: self.run.pin.is_some(),
+            until_objective: self.objective_at.saturating_duration_since(now),
+            cost: self.cost,
+        }
+    }
+
     /// Returns whether it may open a transaction, which then pins its connection.
     pub(crate) fn opens_transaction(&self) -> bool {
         self.run.pin.is_none() && self.run.req.in_transaction
--- a/crates/decide/src/owner/upstream.rs
+++ b/crates/decide/src/owner/upstream.rs
@@ -18,7 +18,7 @@
     Claim, ConnId, HashMap, InstanceStatus, Kind, Position, Request, Role, ServiceId, Term,
     UpstreamId,
 };
-use room::ConcurrencyLimit;
+use room::{ConcurrencyLimit, Pace};
 
 use crate::breaker::Breaker;
 use crate::event::ProbeResult;
@@ -71,6 +71,8 @@
     pub(crate) breaker: Breaker,
     /// How many statements may run at a time, by the instance's busy responses.
     pub(crate) limit: ConcurrencyLimit,
+    /// How fast the queue moves.
+    pub(crate) pace: Pace,
     /// When connections may be opened again after a failure.
     pub(crate) next_open_at: Option<Instant>,
     /// When the upstream last answered a request.
@@ -106,6 +108,7 @@
             pins: HashMap::default(),
             breaker: Breaker::default(),
             limit: ConcurrencyLimit::default(),
+            pace: Pace::default(),
             next_open_at: None,
             last_answer_at: None,
             primary_position: None,
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -13,6 +13,12 @@
 /// The assumed service time of a request before any has been measured.
 pub const UNMEASURED_COST: Duration = Duration::from_millis(1);
 
+/// Order of an item among those that may run; the lowest first.
+pub type Rank = u32;
+
+/// The rank before which there is none.
+pub const FIRST_RANK: Rank = 0;
+
 /// A queueing discipline, which selects the queue type for any kind of item.
 pub trait QueueDiscipline: Debug {
     /// The queue of this discipline.
@@ -34,7 +40,15 @@
     fn push(&mut self, workspace: &WorkspaceId, item: T, urgent: bool);
 
     /// Removes the next eligible item and charges its workspace the expected service time.
-    fn pop(&mut self, eligible: impl Fn(&T) -> bool) -> Option<Popped<T>>;
+    fn pop(&mut self, eligible: impl Fn(&T) -> bool) -> Option<Popped<T>> {
+        self.pop_ranked(|item| eligible(item).then_some(FIRST_RANK))
+    }
+
+    /// Removes the item with the lowest rank and charges its workspace the expected service time.
+    ///
+    /// Items without a rank aren't eligible. The rank decides only among items that the discipline
+    /// would otherwise let run by their order.
+    fn pop_ranked(&mut self, rank: impl Fn(&T) -> Option<Rank>) -> Option<Popped<T>>;
 
     /// Replaces a charge by the measured service time.
     fn record_service_time(&mut self, workspace: &WorkspaceId, charge: Duration, took: Duration);
@@ -44,7 +58,18 @@
 
     /// Returns the total service time, over all slots, expected to be spent before a new item
     /// starts.
-    fn expected_wait(&self, workspace: &WorkspaceId, urgent: bool) -> Duration;
+    fn expected_wait(&self, workspace: &WorkspaceId, urgent: bool) -> Duration {
+        self.expected_wait_behind(workspace, urgent, |_| true)
+    }
+
+    /// Returns the total service time, over all slots, expected to be spent before a new item
+    /// starts that goes before those items of its workspace for which `ahead` is false.
+    fn expected_wait_behind(
+        &self,
+        workspace: &WorkspaceId,
+        urgent: bool,
+        ahead: impl Fn(&T) -> bool,
+    ) -> Duration;
 
     /// Returns the expected service time of an item of a workspace.
     fn expected_cost(&self, workspace: &WorkspaceId) -> Duration;
@@ -120,8 +145,8 @@
         self.items.push_back(item);
     }
 
-    fn pop(&mut self, eligible: impl Fn(&T) -> bool) -> Option<Popped<T>> {
-        let index = self.items.iter().position(eligible)?;
+    fn pop_ranked(&mut self, rank: impl Fn(&T) -> Option<Rank>) -> Option<Popped<T>> {
+        let (_, index) = first_ranked(&self.items, &rank)?;
         let item = self.items.remove(index)?;
         let charge = Duration::ZERO;
         Some(Popped { item, charge })
@@ -133,8 +158,14 @@
 
     fn refund(&mut self, _workspace: &WorkspaceId, _charge: Duration) {}
 
-    fn expected_wait(&self, _workspace: &WorkspaceId, _urgent: bool) -> Duration {
-        multiply(self.service_time.get(), self.items.len())
+    fn expected_wait_behind(
+        &self,
+        _workspace: &WorkspaceId,
+        _urgent: bool,
+        ahead: impl Fn(&T) -> bool,
+    ) -> Duration {
+        let count = self.items.iter().filter(|item| ahead(item)).count();
+        multiply(self.service_time.get(), count)
     }
 
     fn expected_cost(&self, _workspace: &WorkspaceId) -> Duration {
@@ -157,6 +188,26 @@
     }
 }
 
+/// Returns the lowest rank with the index of the first item that has it.
+pub(crate) fn first_ranked<T>(
+    items: &VecDeque<T>,
+    rank: &impl Fn(&T) -> Option<Rank>,
+) -> Option<(Rank, usize)> {
+    let mut first = None;
+    for (index, item) in items.iter().enumerate() {
+        let Some(rank) = rank(item) else {
+            continue;
+        };
+        if first.is_none_or(|(lowest, _)| rank < lowest) {
+            first = Some((rank, index));
+        }
+        if rank == FIRST_RANK {
+            break;
+        }
+    }
+    first
+}
+
 /// Removes and returns the items that satisfy the predicate, in order.
 pub(crate) fn drain_matching<T>(
     items: &mut VecDeque<T>,
--- a/crates/decide/src/queue/drr.rs
+++ b/crates/decide/src/queue/drr.rs
@@ -7,7 +7,8 @@
 use model::{HashMap, WorkspaceId};
 
 use crate::queue::{
-    MovingAverage, Popped, QueueDiscipline, RequestQueue, UNMEASURED_COST, drain_matching, multiply,
+    FIRST_RANK, MovingAverage, Popped, QueueDiscipline, Rank, RequestQueue, UNMEASURED_COST,
+    drain_matching, first_ranked, multiply,
 };
 
 /// The service time that each workspace is credited in a round.
@@ -109,16 +110,23 @@
     }
 
     /// Returns whether any item is eligible.
-    fn has_eligible(&self, eligible: &impl Fn(&T) -> bool) -> bool {
-        self.urgent.iter().chain(&self.items).any(eligible)
+    fn has_eligible(&self, rank: &impl Fn(&T) -> Option<Rank>) -> bool {
+        let mut items = self.urgent.iter().chain(&self.items);
+        items.any(|item| rank(item).is_some())
     }
 
-    /// Removes the first eligible item, urgent ones first.
-    fn pop_eligible(&mut self, eligible: &impl Fn(&T) -> bool) -> Option<T> {
-        if let Some(index) = self.urgent.iter().position(eligible) {
+    /// Returns the rank of the item that [`Self::pop_eligible`] removes.
+    fn next_rank(&self, rank: &impl Fn(&T) -> Option<Rank>) -> Option<Rank> {
+        let next = first_ranked(&self.urgent, rank).or_else(|| first_ranked(&self.items, rank));
+        next.map(|(rank, _)| rank)
+    }
+
+    /// Removes the eligible item of the lowest rank, urgent ones first.
+    fn pop_eligible(&mut self, rank: &impl Fn(&T) -> Option<Rank>) -> Option<T> {
+        if let Some((_, index)) = first_ranked(&self.urgent, rank) {
             return self.urgent.remove(index);
         }
-        let index = self.items.iter().position(eligible)?;
+        let (_, index) = first_ranked(&self.items, rank)?;
         self.items.remove(index)
     }
 
@@ -155,37 +163,53 @@
 }
 
 impl<T: Debug> DrrQueue<T> {
-    /// Takes an item of the first workspace in the active list with credit and an eligible item.
-    fn pop_in_round(&mut self, eligible: &impl Fn(&T) -> bool) -> Option<Popped<T>> {
-        for _ in 0..self.active.len() {
-            let flow = self.flows.get_mut(self.active.front()?)?;
+    /// Returns the place in the active list of the workspace that is served next: of those with
+    /// credit, the first whose next item has the lowest rank.
+    fn next_in_round(&mut self, rank: &impl Fn(&T) -> Option<Rank>) -> Option<usize> {
+        let mut next = None;
+        for (place, workspace) in self.active.iter().enumerate() {
+            let Some(flow) = self.flows.get_mut(workspace) else {
+                continue;
+            };
             flow.credit_rounds(self.round);
-            if flow.deficit > 0
-                && let Some(item) = flow.pop_eligible(eligible)
-            {
-                let charge = flow.service_time.get();
-                flow.deficit -= to_credit(charge);
-                flow.record_turn_interval(self.charged_total);
-                self.charged_total += to_credit(charge);
-                self.len -= 1;
-                if flow.len() == 0 {
-                    self.active.pop_front();
-                }
-                return Some(Popped { item, charge });
+            let Some(rank) = flow.next_rank(rank).filter(|_| flow.deficit > 0) else {
+                continue;
+            };
+            if next.is_none_or(|(lowest, _)| rank < lowest) {
+                next = Some((rank, place));
+            }
+            if rank == FIRST_RANK {
+                break;
             }
-            self.active.rotate_left(1);
         }
-        None
+        next.map(|(_, place)| place)
+    }
+
+    /// Takes the next item of a workspace with credit and an eligible item.
+    fn pop_in_round(&mut self, rank: &impl Fn(&T) -> Option<Rank>) -> Option<Popped<T>> {
+        let place = self.next_in_round(rank)?;
+        self.active.rotate_left(place);
+        let flow = self.flows.get_mut(self.active.front()?)?;
+        let item = flow.pop_eligible(rank)?;
+        let charge = flow.service_time.get();
+        flow.deficit -= to_credit(charge);
+        flow.record_turn_interval(self.charged_total);
+        self.charged_total += to_credit(charge);
+        self.len -= 1;
+        if flow.len() == 0 {
+            self.active.pop_front();
+        }
+        Some(Popped { item, charge })
     }
 
     /// Advances to the next round in which a workspace with an eligible item has credit, or returns
     /// `None` if there is no such item.
-    fn skip_rounds(&mut self, eligible: &impl Fn(&T) -> bool) -> Option<()> {
+    fn skip_rounds(&mut self, rank: &impl Fn(&T) -> Option<Rank>) -> Option<()> {
         let rounds = self
             .active
             .iter()
             .filter_map(|workspace| self.flows.get(workspace))
-            .filter(|flow| flow.has_eligible(eligible))
+            .filter(|flow| flow.has_eligible(rank))
             .map(|flow| flow.rounds_needed(self.round))
             .min()?;
         self.round += rounds;
@@ -211,12 +235,12 @@
         self.len += 1;
     }
 
-    fn pop(&mut self, eligible: impl Fn(&T) -> bool) -> Option<Popped<T>> {
-        if let Some(popped) = self.pop_in_round(&eligible) {
+    fn pop_ranked(&mut self, rank: impl Fn(&T) -> Option<Rank>) -> Option<Popped<T>> {
+        if let Some(popped) = self.pop_in_round(&rank) {
             return Some(popped);
         }
-        self.skip_rounds(&eligible)?;
-        self.pop_in_round(&eligible)
+        self.skip_rounds(&rank)?;
+        self.pop_in_round(&rank)
     }
 
     fn record_service_time(&mut self, workspace: &WorkspaceId, charge: Duration, took: Duration) {
@@ -237,14 +261,16 @@
     // The greater of two estimates. By turns: the measured time between two items of this
     // workspace, for each of its items ahead. By backlog: the items ahead, and of each other
     // workspace its queue, but at most as much service time as this one gets and one quantum.
-    fn expected_wait(&self, workspace: &WorkspaceId, urgent: bool) -> Duration {
+    fn expected_wait_behind(
+        &self,
+        workspace: &WorkspaceId,
+        urgent: bool,
+        ahead: impl Fn(&T) -> bool,
+    ) -> Duration {
         let (own_backlog, by_turns) = match self.flows.get(workspace) {
             Some(flow) => {
-                let before = if urgent {
-                    flow.urgent.len()
-                } else {
-                    flow.len()
-                };
+                let items = flow.items.iter().filter(|item| !urgent && ahead(item));
+                let before = flow.urgent.len() + items.count();
                 let own_backlog = multiply(flow.service_time.get(), before);
                 (own_backlog, multiply(flow.turn_interval.get(), before))
             }
--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -15,6 +15,18 @@
     Duration::from_secs(count)
 }
 
+/// A lag of both replicas, and a burst and idle transactions right after it.
+fn lag_and_burst() -> Day {
+    Day {
+        requests_per_s: 250.0,
+        lag: secs(5)..secs(11),
+        burst: secs(11)..secs(14),
+        burst_factor: 1.7,
+        idle_transactions: secs(9)..secs(14),
+        length: secs(24),
+    }
+}
+
 fn settings() -> Settings {
     let mut settings = Settings::default();
     settings.session.hedge_after = Some(Duration::from_millis(150));
@@ -24,6 +36,7 @@
     settings.owner.idle_timeout = secs(50);
     settings.grant.max_wait = Duration::from_millis(40);
     settings.room.limit_concurrency = true;
+    settings.room.rank_requests = true;
     settings
 }
 
@@ -43,19 +56,19 @@
     f64::from(served) / f64::from(offered)
 }
 
+/// Returns the fraction of the operations of some seconds that met their objective.
+fn prompt(seconds: &[Second]) -> f64 {
+    let offered: u32 = seconds.iter().map(|second| second.offered).sum();
+    let prompt: u32 = seconds.iter().map(|second| second.prompt).sum();
+    f64::from(prompt) / f64::from(offered)
+}
+
 /// Guards against an overload that feeds itself: reads that moved to the primary need connections
 /// of their workspaces there, each new connection takes a slot and the place of another, busy
 /// responses close connections, and each owner that is avoided and each hedge adds load.
 #[test]
 fn load_that_the_instances_can_run_is_served_again_after_a_lag_and_a_burst() {
-    let day = Day {
-        requests_per_s: 250.0,
-        lag: secs(5)..secs(11),
-        burst: secs(11)..secs(14),
-        burst_factor: 1.7,
-        idle_transactions: secs(9)..secs(14),
-        length: secs(24),
-    };
+    let day = lag_and_burst();
     // While both replicas lag, the primary alone can run nearly all of the load; and at the worst
     // each statement needs a new connection, which takes a slot too.
     let runnable = primary_capacity() / day.requests_per_s;
@@ -77,3 +90,19 @@
         }
     }
 }
+
+/// Guards against slots that go to the requests which have waited longest, and so are the first to
+/// be late: all that are answered then are late.
+#[test]
+fn ranked_queues_answer_more_requests_within_their_objectives() {
+    let mut unranked = settings();
+    unranked.room.rank_requests = false;
+    for seed in SEEDS {
+        let [with, without] = [settings(), unranked.clone()].map(|settings| {
+            let seconds = play(&lag_and_burst(), &settings, seed);
+            [prompt(&seconds[5..11]), prompt(&seconds[11..14])]
+        });
+        println!("seed {seed}: lag and burst, ranked {with:.3?}, unranked {without:.3?}");
+        assert!(with[0] > without[0] && with[1] > without[1]);
+    }
+}
--- a/crates/decide/tests/overload_world/callers.rs
+++ b/crates/decide/tests/overload_world/callers.rs
@@ -25,6 +25,7 @@
     pub(super) work_ms: f64,
     pub(super) writes: f64,
     pub(super) timeout: Duration,
+    pub(super) objective: Duration,
 }
 
 const STALE: Duration = Duration::from_millis(1500);
@@ -37,6 +38,7 @@
         work_ms: 3.8,
         writes: 0.2,
         timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(150),
     },
     RequestType {
         share: 0.15,
@@ -44,6 +46,7 @@
         work_ms: 19.0,
         writes: 0.0,
         timeout: Duration::from_secs(6),
+        objective: Duration::from_millis(400),
     },
     RequestType {
         share: 0.7,
@@ -53,6 +56,7 @@
         work_ms: 12.0,
         writes: 0.12,
         timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(250),
     },
 ];
 
@@ -65,6 +69,8 @@
     pub(super) work: Duration,
     pub(super) started: Duration,
     pub(super) attempts: u32,
+    /// When its latest attempt was sent.
+    pub(super) sent: Duration,
 }
 
 /// Returns how many requests a second one instance can run if each needs a new connection.
@@ -107,12 +113,14 @@
             work,
             started: self.now,
             attempts: 0,
+            sent: self.now,
         });
     }
 
     /// Sends an operation on an idle session of its workspace, at any entry host.
     pub(super) fn send(&mut self, mut op: Op) {
         op.attempts += 1;
+        op.sent = self.now;
         let idle = self
             .idle
             .entry((op.workspace, op.request_type))
@@ -173,6 +181,11 @@
         let second = &mut self.seconds[op.started.as_secs() as usize];
         let is_read = op.kind == Kind::Read;
         second.served += u32::from(answer.verdict == Verdict::Ran && in_time);
+        let RequestType { objective, .. } = TYPES[op.request_type];
+        let is_prompt = self.now - op.started <= objective;
+        second.prompt += u32::from(answer.verdict == Verdict::Ran && is_prompt);
+        let is_late = self.now - op.sent > objective / 4;
+        second.late_refusals += u32::from(matches!(answer.verdict, Verdict::NotRun(_)) && is_late);
         second.unclear_reads += u32::from(answer.verdict == Verdict::MayHaveRun && is_read);
         let may_retry = match answer.verdict {
             Verdict::Ran => false,
--- a/crates/decide/tests/overload_world/fleet.rs
+++ b/crates/decide/tests/overload_world/fleet.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use decide::View;
 use decide::view::{ServiceView, UpstreamView};
@@ -43,7 +42,7 @@
             service: "s".into(),
             reads: request_type.reads,
             timeout: request_type.timeout,
-            objective: Duration::from_millis(250),
+            objective: request_type.objective,
             priority: 1,
             open: false,
         };
--- a/crates/decide/tests/overload_world/mod.rs
+++ b/crates/decide/tests/overload_world/mod.rs
@@ -58,6 +58,10 @@
     pub(crate) offered: u32,
     /// Answered before their deadline.
     pub(crate) served: u32,
+    /// Answered within their latency objective.
+    pub(crate) prompt: u32,
+    /// Refusals that came later than a quarter of the objective after the attempt.
+    pub(crate) late_refusals: u32,
     /// Reads of which the caller was told that they may have run.
     pub(crate) unclear_reads: u32,
     /// Connections that were opened in that second.
--- a/crates/decide/tests/queue.rs
+++ b/crates/decide/tests/queue.rs
@@ -125,3 +125,34 @@
         assert!((0.95..1.05).contains(&ratio), "{costs:?}: {ratio}");
     }
 }
+
+/// Guards against a priority that starves other workspaces: it decides within a workspace and
+/// within a round, but each workspace gets the same service time.
+#[test]
+fn ranks_leave_the_shares_of_workspaces_equal_and_order_each_of_them() {
+    let mut queue = <Drr as QueueDiscipline>::RequestQueue::<(u8, u32)>::default();
+    let mut served = [0, 0];
+    for rank in [7, 5, 9] {
+        (0..2).for_each(|index| queue.push(&workspace_id(index), (index, rank), false));
+    }
+    let mut last_of_first = Vec::new();
+    for _ in 0..1000 {
+        // The first workspace's items all go before those of the second.
+        let rank = |item: &(u8, u32)| Some(u32::from(item.0) * 100 + item.1);
+        let popped = queue.pop_ranked(rank).expect("items are always queued");
+        let (index, rank) = popped.item;
+        served[usize::from(index)] += 10;
+        if index == 0 {
+            last_of_first.push(rank);
+        }
+        let took = Duration::from_millis(10);
+        queue.record_service_time(&workspace_id(index), popped.charge, took);
+        queue.push(&workspace_id(index), (index, rank), false);
+    }
+    let ratio = f64::from(served[0]) / f64::from(served[1]);
+    assert!((0.95..1.05).contains(&ratio), "{served:?}");
+    assert!(
+        last_of_first.iter().all(|rank| *rank == 5),
+        "the lowest rank goes first"
+    );
+}
--- a/crates/room/src/lib.rs
+++ b/crates/room/src/lib.rs
@@ -6,7 +6,11 @@
 //! format; the `decide` crate composes it.
 
 mod limit;
+mod pace;
+mod rank;
 mod settings;
 
 pub use limit::ConcurrencyLimit;
+pub use pace::Pace;
+pub use rank::Waiting;
 pub use settings::RoomSettings;
--- a/crates/room/src/settings.rs
+++ b/crates/room/src/settings.rs
@@ -8,4 +8,8 @@
 pub struct RoomSettings {
     /// Whether an owner starts no more at an instance than that has been shown to accept.
     pub limit_concurrency: bool,
+    /// Whether queued requests run by priority, and those that miss their objective run last.
+    ///
+    /// Under overload, the latter are refused.
+    pub rank_requests: bool,
 }
