--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -12,6 +12,7 @@
 pub(crate) mod pending;
 pub(crate) mod pick;
 mod silent_owner;
+mod token_wait;
 
 use std::time::Instant;
 
@@ -26,7 +27,9 @@
     roll_back_pin,
 };
 use crate::entry::pick::Router;
+use crate::entry::token_wait::token_wait;
 use crate::grant::PartTokenGrant;
+use crate::owner::CapacitySource;
 use crate::relay::{Bounce, RelayMsg, RunRequest};
 use crate::route::ReadPolicy;
 use crate::session::{SessionLogEvent, SessionPin, Sessions, lets_transaction_end};
@@ -236,9 +239,9 @@
         if pending.admitted {
             return Some(pending);
         }
-        let waited = cx.now.duration_since(pending.received_at);
+        let wait = token_wait(cx, sessions, &pending);
         let workspace = &pending.req.workspace;
-        match self.admission.try_admit(cx.now, workspace, waited) {
+        match self.admission.try_admit(cx.now, workspace, wait) {
             Admit::Now => {
                 pending.admitted = true;
                 Some(pending)
@@ -295,9 +298,15 @@
         answer: Answer,
         pin: Option<ConnId>,
     ) {
-        let Some((pending, other)) = self.requests.remove_answered(id) else {
+        let Some((mut pending, other)) = self.requests.remove_answered(id) else {
             return;
         };
+        if let (Verdict::NotRun(refusal), Some((other_id, target))) = (answer.verdict, &other) {
+            // The other attempt of a hedged read may run, or have run.
+            pending.last_refusal = refusal;
+            pending.target = Some(target.clone());
+            return self.requests.insert(*other_id, pending);
+        }
         if let Some((id, target)) = other {
             cx.send(target.owner, RelayMsg::Cancel { id });
         }
@@ -314,6 +323,9 @@
             });
             session.floor = session.floor.max(answer.position);
         }
+        if pending.may_have_run && matches!(answer.verdict, Verdict::NotRun(_)) {
+            return answer_without_result(cx, sessions, pending, answer.verdict);
+        }
         answer_caller(cx, sessions, &pending, answer);
     }
 
@@ -327,7 +339,12 @@
         id: RequestId,
         why: Bounce,
     ) {
-        if self.requests.drop_earlier_attempt(id) {
+        let may_have_run = match &why {
+            // Where claims are granted, a replica's read runs before the age of its data is known.
+            Bounce::Behind => cx.settings.owner.capacity == CapacitySource::Claimed,
+            why => *why == Bounce::Unproved,
+        };
+        if self.requests.drop_earlier_attempt(id, may_have_run) {
             return;
         }
         let Some(mut pending) = self.requests.remove(id) else {
@@ -343,6 +360,7 @@
             let verdict = Verdict::NotRun(Refusal::TransactionLost);
             return answer_without_result(cx, sessions, pending, verdict);
         }
+        pending.may_have_run |= may_have_run;
         match why {
             Bounce::Refused(refusal) => {
                 return answer_without_result(cx, sessions, pending, Verdict::NotRun(refusal));
@@ -350,7 +368,6 @@
             Bounce::Behind => {
                 self.router.failures.record_behind(cx.now, &target.upstream);
                 pending.last_refusal = Refusal::NoUpstream;
-                pending.may_have_run = true;
                 // A second bounce shows that no upstream has the position yet.
                 if !std::mem::replace(&mut pending.replica_behind, true) {
                     return self.send_or_park(cx, view, sessions, pending);
@@ -366,7 +383,6 @@
                 }
             }
             Bounce::NotOwner | Bounce::Unavailable | Bounce::Unproved => {
-                pending.may_have_run |= why == Bounce::Unproved;
                 let owner = &target.owner.host;
                 self.router
                     .failures
