decide: send a workspace's requests for an instance to one owner

Cause: pooled connections belong to a workspace, but an entry host chose a random owner of an instance for each request. Each workspace so needed connections on both owners of each instance, and one connection was opened for every five to six statements.

Change: with balance.preferred_owner, a workspace's requests for an instance go to the usable owner with the highest rendezvous score for both; the other one gets them while the first is silent, unavailable or has left a read unanswered.

--- a/crates/decide/src/entry/pick.rs
+++ b/crates/decide/src/entry/pick.rs
@@ -32,9 +32,10 @@
     ) -> Option<(Target, &'static str)> {
         let service = view.services.get(&pending.req.service)?;
         let (upstream, reason) = self.pick_upstream(cx, view, service, pending)?;
+        let workspace = &pending.req.workspace;
         let owner = self
             .failures
-            .pick_owner(cx, view, &self.checks, &upstream)?;
+            .pick_owner(cx, view, &self.checks, &upstream, workspace)?;
         let pin = None;
         let target = Target {
             upstream,
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -5,7 +5,7 @@
 
 use std::cmp::Reverse;
 
-use model::{DataCentreId, FIRST_TRAFFIC_PART, HostId, HostInfo, PartId};
+use model::{DataCentreId, FIRST_TRAFFIC_PART, HostId, HostInfo, PartId, WorkspaceId};
 
 /// Number of hosts that own an upstream.
 pub const OWNERS_PER_UPSTREAM: usize = 2;
@@ -88,6 +88,19 @@
     best.into_iter().map(|(_, host)| host.clone()).collect()
 }
 
+/// Returns the owner that a workspace's requests for an upstream go to.
+///
+/// A pooled connection serves one workspace, so that two owners for it would need two connections.
+pub fn preferred_owner<'a>(
+    upstream: &str,
+    workspace: &WorkspaceId,
+    owners: impl IntoIterator<Item = &'a HostId>,
+) -> Option<&'a HostId> {
+    let key = StableHash::new().add_text(upstream).add_text(workspace);
+    let owners = owners.into_iter();
+    owners.max_by_key(|owner| (key.add_text(owner).finish(), *owner))
+}
+
 /// Returns the traffic part of an owner that holds an upstream's connections.
 ///
 /// A part is the state of one thread of a host: the control part, or one of the traffic parts.
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -2,12 +2,12 @@
 //!
 //! Both leave out upstreams and owners that failed recently.
 
-use model::{HashMap, HostId, HostInfo, PartAddr, UpstreamId};
+use model::{HashMap, HostId, HostInfo, PartAddr, UpstreamId, WorkspaceId};
 use rand::Rng;
 use std::time::{Duration, Instant};
 
 use crate::entry::owner_check::OwnerChecks;
-use crate::placement::traffic_part;
+use crate::placement::{preferred_owner, traffic_part};
 use crate::view::{ServiceView, UpstreamView};
 use crate::{Cx, View};
 
@@ -211,13 +211,15 @@
 
     /// Returns the traffic part (state of one thread of a host) to send an upstream's request to.
     ///
-    /// It is that of a random usable owner; one that left a read unanswered is the last resort.
+    /// It is that of a usable owner: the one that the workspace prefers if the settings say so, else
+    /// a random one. An owner that left a read unanswered is the last resort.
     pub(crate) fn pick_owner(
         &self,
         cx: &mut Cx<'_>,
         view: &View,
         checks: &OwnerChecks,
         upstream: &UpstreamId,
+        workspace: &WorkspaceId,
     ) -> Option<PartAddr> {
         let up = view.upstreams.get(upstream)?;
         let now = cx.now;
@@ -230,8 +232,12 @@
         if !self.unanswered_until.is_empty() && owners.iter().any(responsive) {
             owners.retain(responsive);
         }
-        let nth = cx.rng.random_range(0..owners.len());
-        let host = view.hosts.get(owners[nth])?;
+        let owner = if cx.settings.balance.preferred_owner {
+            preferred_owner(upstream, workspace, owners)?
+        } else {
+            owners[cx.rng.random_range(0..owners.len())]
+        };
+        let host = view.hosts.get(owner)?;
         Some(PartAddr {
             host: host.host.clone(),
             part: traffic_part(upstream, host),
--- a/crates/decide/src/settings.rs
+++ b/crates/decide/src/settings.rs
@@ -9,6 +9,8 @@
 use crate::session::SessionSettings;
 use crate::spread::SpreadSettings;
 
+pub use balance::BalanceSettings;
+
 /// The settings that decisions depend on, one table for each feature.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -25,4 +27,6 @@
     pub spread: SpreadSettings,
     /// Distribution of workspaces' rates over the hosts.
     pub grant: GrantSettings,
+    /// Choice of instances and owners by load.
+    pub balance: BalanceSettings,
 }
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -9,6 +9,7 @@
 use decide::owner::OwnerSettings;
 use decide::raft::RaftSettings;
 use decide::session::SessionSettings;
+use decide::settings::BalanceSettings;
 use decide::spread::SpreadSettings;
 use model::{DataCentreId, HostId};
 use serde::{Deserialize, Serialize};
@@ -62,6 +63,8 @@
     pub spread: SpreadSettings,
     /// Rate limits of workspaces, and their shares for hosts.
     pub grant: GrantSettings,
+    /// Choice of instances and owners by load.
+    pub balance: BalanceSettings,
 }
 
 impl HostSettings {
@@ -83,6 +86,7 @@
             raft: self.raft.clone(),
             spread: self.spread.clone(),
             grant: self.grant.clone(),
+            balance: self.balance.clone(),
         }
     }
 }
@@ -112,6 +116,7 @@
             raft: RaftSettings::default(),
             spread: SpreadSettings::default(),
             grant: GrantSettings::default(),
+            balance: BalanceSettings::default(),
         }
     }
 }
--- a/crates/host/tests/settings_doc.rs
+++ b/crates/host/tests/settings_doc.rs
@@ -9,7 +9,7 @@
 
 const DOCUMENT: &str = include_str!("../../../docs/SETTINGS.md");
 /// The source files that declare settings.
-const SOURCES: [&str; 9] = [
+const SOURCES: [&str; 10] = [
     include_str!("../src/settings.rs"),
     include_str!("../../decide/src/session.rs"),
     include_str!("../../decide/src/entry/budget.rs"),
@@ -19,6 +19,7 @@
     include_str!("../../decide/src/raft/settings.rs"),
     include_str!("../../decide/src/spread/settings.rs"),
     include_str!("../../decide/src/grant.rs"),
+    include_str!("../../balance/src/settings.rs"),
 ];
 
 /// The row of an option in `docs/SETTINGS.md`.
