decide: forward reads from a loaded owner to a sibling instance

Cause: demand is skewed over data centres and services: the replica that is near most callers fills while its siblings, and the primary, have room.

Change: with balance.forward_reads, the owners of a service's instances tell each other their work while one is loaded, ten times a second at most, and an owner passes a new read on once, by the choice of the crate balance. Only repeatable single reads with a floor or maximum age are passed on; the owner that runs one checks it as any other and answers the entry host. The entry host is told who has the read, so that cancellations, checks of silent owners and lost links concern that owner; the loss of the first one sends the read elsewhere too. The first owner sends back what it forwarded over a link that broke. The new messages are at the end of RelayMsg and are off by default. Events 280 and 281 and two metrics show it.

--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -6,6 +6,7 @@
 //! usable is parked: it stays here and is tried again after a backoff.
 
 pub mod budget;
+mod forwarded;
 mod hedge;
 mod last_answers;
 pub(crate) mod owner_check;
@@ -16,7 +17,8 @@
 use std::time::Instant;
 
 use model::{
-    Answer, ConnId, HostId, Kind, Refusal, Request, RequestId, SessionId, TxStatus, Verdict,
+    Answer, ConnId, HostId, Kind, PartAddr, Refusal, Request, RequestId, SessionId, TxStatus,
+    Verdict,
 };
 
 use crate::admit::{Admission, Admit};
@@ -320,6 +322,7 @@
         cx: &mut Cx<'_>,
         view: &View,
         sessions: &mut Sessions,
+        from: &PartAddr,
         id: RequestId,
         why: Bounce,
     ) {
@@ -344,7 +347,9 @@
                 return answer_without_result(cx, sessions, pending, Verdict::NotRun(refusal));
             }
             Bounce::Behind => {
-                self.router.failures.record_behind(cx.now, &target.upstream);
+                if *from == target.owner {
+                    self.router.failures.record_behind(cx.now, &target.upstream);
+                }
                 pending.last_refusal = Refusal::NoUpstream;
                 pending.may_have_run = true;
                 // A second bounce shows that no upstream has the position yet.
@@ -363,10 +368,13 @@
             }
             Bounce::NotOwner | Bounce::Unavailable | Bounce::Unproved => {
                 pending.may_have_run |= why == Bounce::Unproved;
-                let owner = &target.owner.host;
-                self.router
-                    .failures
-                    .record_unavailable(cx.now, &target.upstream, owner);
+                // A forwarded read's bounce may come before the message that says who has it.
+                if *from == target.owner {
+                    let owner = &target.owner.host;
+                    self.router
+                        .failures
+                        .record_unavailable(cx.now, &target.upstream, owner);
+                }
                 pending.last_refusal = Refusal::NoUpstream;
                 if pending.attempts <= 1 {
                     return self.send_or_park(cx, view, sessions, pending);
@@ -389,7 +397,7 @@
         sessions.drop_pins_of_host(host);
         let at_host = |pending: &PendingRequest| {
             let target = pending.target.as_ref();
-            target.is_some_and(|target| target.owner.host == *host)
+            target.is_some_and(|target| target.is_at(host))
         };
         let lost: Vec<RequestId> = self
             .requests
--- a/crates/decide/src/entry/pending.rs
+++ b/crates/decide/src/entry/pending.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use model::{
-    Answer, ConnId, HashMap, Kind, PartAddr, Refusal, Request, RequestId, SessionId, TxStatus,
-    UpstreamId, Verdict,
+    Answer, ConnId, HashMap, HostId, Kind, PartAddr, Refusal, Request, RequestId, SessionId,
+    TxStatus, UpstreamId, Verdict,
 };
 use rand::Rng;
 
@@ -74,6 +74,8 @@
     pub(crate) owner: PartAddr,
     /// The connection of the open transaction, if the request belongs to one.
     pub(crate) pin: Option<ConnId>,
+    /// The owner that the attempt was sent to first, if that has forwarded it to this one.
+    pub(crate) forwarded_by: Option<HostId>,
 }
 
 /// The requests that have no answer yet, by the number of their latest attempt.
@@ -148,6 +150,15 @@
         true
     }
 
+    /// Returns where an attempt was sent, whether it is the latest or the one before a hedge.
+    pub(crate) fn target_mut(&mut self, id: RequestId) -> Option<&mut Target> {
+        if let Some(newest) = self.newest_by_earlier.get(&id) {
+            let pending = self.by_attempt.get_mut(newest)?;
+            return pending.earlier_attempt.as_mut().map(|(_, target)| target);
+        }
+        self.by_attempt.get_mut(&id)?.target.as_mut()
+    }
+
     /// Removes a request by the number of its latest attempt.
     pub(crate) fn remove(&mut self, id: RequestId) -> Option<PendingRequest> {
         let pending = self.by_attempt.remove(&id)?;
@@ -177,12 +188,21 @@
     }
 }
 
+impl Target {
+    /// Returns whether an attempt is lost with the link to a host: that of its owner, or of the
+    /// owner that forwarded it, since the read may not have left that.
+    pub(crate) fn is_at(&self, host: &HostId) -> bool {
+        self.owner.host == *host || self.forwarded_by.as_ref() == Some(host)
+    }
+}
+
 impl From<SessionPin> for Target {
     fn from(pin: SessionPin) -> Self {
         Self {
             upstream: pin.upstream,
             owner: pin.owner,
             pin: Some(pin.conn),
+            forwarded_by: None,
         }
     }
 }
--- a/crates/decide/src/entry/pick.rs
+++ b/crates/decide/src/entry/pick.rs
@@ -36,11 +36,11 @@
         let owner = self
             .failures
             .pick_owner(cx, view, &self.checks, &upstream, workspace)?;
-        let pin = None;
         let target = Target {
             upstream,
             owner,
-            pin,
+            pin: None,
+            forwarded_by: None,
         };
         Some((target, reason))
     }
--- a/crates/decide/src/log_event.rs
+++ b/crates/decide/src/log_event.rs
@@ -9,8 +9,10 @@
 pub enum LogEvent {
     /// Events 100 to 199: sessions and routing.
     Session(session::SessionLogEvent),
-    /// Events 200 to 299: owners, queues and connections.
+    /// Events 200 to 279: owners, queues and connections.
     Owner(owner::OwnerLogEvent),
+    /// Events 280 to 299: reads forwarded to sibling instances.
+    Forward(owner::ForwardLogEvent),
     /// Events 300 to 399, except those of `Authority`: health and primaries of upstreams.
     Group(group::GroupLogEvent),
     /// Events 350 to 359: primaries replaced by the leader of consensus.
@@ -36,6 +38,7 @@
         match $event {
             LogEvent::Session($inner) => $body,
             LogEvent::Owner($inner) => $body,
+            LogEvent::Forward($inner) => $body,
             LogEvent::Group($inner) => $body,
             LogEvent::Authority($inner) => $body,
             LogEvent::Raft($inner) => $body,
@@ -74,6 +77,7 @@
 impl_from! {
     Session(session::SessionLogEvent),
     Owner(owner::OwnerLogEvent),
+    Forward(owner::ForwardLogEvent),
     Group(group::GroupLogEvent),
     Authority(authority::AuthorityLogEvent),
     Raft(raft::RaftLogEvent),
--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -13,6 +13,8 @@
 pub(crate) mod connections;
 pub(crate) mod dispatch;
 pub(crate) mod drain;
+pub(crate) mod forward;
+pub(crate) mod forward_log_event;
 pub(crate) mod job;
 pub(crate) mod log_event;
 pub(crate) mod pin;
@@ -29,6 +31,7 @@
 use crate::conn::ConnEvent;
 use crate::event::ProbeResult;
 use crate::owner::ack_gate::{AckGate, AckStopMsg};
+use crate::owner::forward::Forwards;
 use crate::owner::job::Job;
 use crate::owner::primary_position::{PositionMsg, PrimaryPositions};
 use crate::owner::replica_wait::{WaitIfSoon, WaitPolicy};
@@ -39,6 +42,7 @@
 use crate::upstream_query::{QueryError, QueryId, QueryReply};
 use crate::{Cx, View};
 
+pub use crate::owner::forward_log_event::ForwardLogEvent;
 pub use crate::owner::log_event::{LoggedRequest, OwnerLogEvent};
 pub use crate::owner::settings::{CapacitySource, OwnerSettings};
 
@@ -51,6 +55,8 @@
 pub struct OwnedUpstreams<Q: QueueDiscipline = Drr, W: WaitPolicy = WaitIfSoon> {
     upstreams: HashMap<UpstreamId, Upstream<Q, W>>,
     shared: SharedState,
+    /// The loads of sibling instances, and the reads that were forwarded to them.
+    forwards: Forwards,
     /// Whether this host is shutting down and accepts no new work.
     leaving: bool,
     /// While leaving: when the transactions that are still open are rolled back.
@@ -87,6 +93,7 @@
         Self {
             upstreams: HashMap::default(),
             shared: SharedState::default(),
+            forwards: Forwards::default(),
             leaving: false,
             leave_deadline: None,
         }
@@ -125,6 +132,7 @@
         }
         self.upstreams
             .retain(|_, upstream| upstream.live || !upstream.is_drained());
+        self.forwards.on_view(view);
     }
 
     /// Applies a probe result: the upstream's status and this host's claim on it.
@@ -158,6 +166,8 @@
             None => upstream.admit(cx, job),
         }
         upstream.reconcile(cx, &mut self.shared);
+        let id = upstream.id.clone();
+        self.report_load(cx, view, &id);
     }
 
     /// Removes a queued request; one that has started is not stopped.
@@ -211,11 +221,14 @@
             } => upstream.on_conn_lost(cx, shared, conn, sent, reason),
         }
         upstream.reconcile(cx, shared);
+        let id = upstream.id.clone();
+        self.report_load(cx, view, &id);
     }
 
     /// Drops the queued requests, the answers held back and the idle transactions of an entry host
     /// whose link is down.
     pub fn on_link_down(&mut self, cx: &mut Cx<'_>, host: &HostId) {
+        self.forwards.on_link_down(cx, host);
         self.shared.unconfirmed.drop_for_host(host);
         for upstream in self.upstreams.values_mut() {
             upstream.on_link_down(cx, &mut self.shared, host);
--- a/crates/decide/src/relay.rs
+++ b/crates/decide/src/relay.rs
@@ -3,7 +3,8 @@
 //! They go between traffic parts, each the state of one thread of a host.
 
 use crate::owner::primary_position::PositionMsg;
-use model::{Answer, ConnId, Refusal, Request, RequestId, SessionId, Term, UpstreamId};
+use balance::LoadReport;
+use model::{Answer, ConnId, PartAddr, Refusal, Request, RequestId, SessionId, Term, UpstreamId};
 use serde::{Deserialize, Serialize};
 
 /// Names no upstream: an owner bounces a request for it at once, which shows that it is not silent.
@@ -44,6 +45,33 @@
         /// The connection that the transaction keeps.
         pin: ConnId,
     },
+    /// Asks an owner of a sibling instance to run a read in place of the sender.
+    Forward(Box<ForwardedRead>),
+    /// Tells an entry host to which owner its read was forwarded, from which the answer comes.
+    Forwarded {
+        /// The entry host's number of the attempt.
+        id: RequestId,
+        /// The instance that runs it.
+        upstream: UpstreamId,
+        /// The owner's part that the read was sent to.
+        owner: PartAddr,
+    },
+    /// Reports to the other owners of a service what the sender has running and queued.
+    Load {
+        /// The instance that the sender owns.
+        upstream: UpstreamId,
+        /// The sender's own work for it.
+        report: LoadReport,
+    },
+}
+
+/// A read that an owner forwards; it is not forwarded again.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ForwardedRead {
+    /// The entry host's part that sent it and gets the answer.
+    pub origin: PartAddr,
+    /// The read, with the sibling as its upstream and the time that is left.
+    pub run: RunRequest,
 }
 
 /// An attempt to run a caller's request, sent to an owner.
--- a/crates/decide/src/traffic.rs
+++ b/crates/decide/src/traffic.rs
@@ -89,9 +89,9 @@
                 msg: Msg::AckStop(msg),
             } => self.owners.on_ack_stop_msg(cx, &from, msg),
             Event::Undelivered {
+                to,
                 msg: Msg::Relay(msg),
-                ..
-            } => self.on_undelivered(cx, msg),
+            } => self.on_undelivered(cx, &to, msg),
             Event::LinkDown(host) => self.on_link_down(cx, &host),
             Event::Conn(event) => self.owners.on_conn_event(cx, &self.view, event),
             Event::UpstreamProbed(probed) => self.on_upstream_probed(cx, probed),
@@ -162,7 +162,7 @@
     fn on_relay_msg(&mut self, cx: &mut Cx<'_>, from: PartAddr, msg: RelayMsg) {
         self.entry.on_heard(cx, &from);
         match msg {
-            RelayMsg::Run(run) => self.on_run(cx, from, *run),
+            RelayMsg::Run(run) => self.on_run(cx, from, *run, false),
             RelayMsg::Cancel { id } => self.owners.on_cancel(cx, &from, id),
             RelayMsg::Unpin { upstream, pin } => {
                 self.owners.on_unpin(cx, &from, &upstream, pin);
@@ -172,7 +172,17 @@
                     .on_answer(cx, &mut self.sessions, id, answer, pin);
             }
             RelayMsg::Position(msg) => self.owners.on_position_msg(cx, &self.view, &from, msg),
-            RelayMsg::Bounce { id, why } => self.on_bounce(cx, id, why),
+            RelayMsg::Bounce { id, why } => self.on_bounce(cx, &from, id, why),
+            RelayMsg::Forward(read) => self.on_run(cx, read.origin, read.run, true),
+            RelayMsg::Forwarded {
+                id,
+                upstream,
+                owner,
+            } => self.entry.on_forwarded(cx, &from, id, upstream, owner),
+            RelayMsg::Load { upstream, report } => {
+                self.owners
+                    .on_load_report(cx, &self.view, &from, &upstream, report);
+            }
         }
     }
 
@@ -180,7 +190,7 @@
     ///
     /// It is bounced if the configuration no longer allows it, or if it is a write that could not
     /// be confirmed.
-    fn on_run(&mut self, cx: &mut Cx<'_>, from: PartAddr, run: RunRequest) {
+    fn on_run(&mut self, cx: &mut Cx<'_>, from: PartAddr, run: RunRequest, forwarded: bool) {
         // This host may have a newer configuration in force than the sender had.
         let access = run.req.access.as_ref().filter(|_| run.pin.is_none());
         let refusal = access.and_then(|access| access.refusal_under(&self.view.config, &run.req));
@@ -193,18 +203,23 @@
             let (id, why) = (run.id, Bounce::Unavailable);
             return cx.send(from, RelayMsg::Bounce { id, why });
         }
+        if !forwarded && self.owners.forward_read(cx, &self.view, &from, &run) {
+            return;
+        }
         self.owners.on_run(cx, &self.view, from, run);
     }
 
-    fn on_bounce(&mut self, cx: &mut Cx<'_>, id: RequestId, why: Bounce) {
+    fn on_bounce(&mut self, cx: &mut Cx<'_>, from: &PartAddr, id: RequestId, why: Bounce) {
         self.entry
-            .on_bounce(cx, &self.view, &mut self.sessions, id, why);
+            .on_bounce(cx, &self.view, &mut self.sessions, from, id, why);
     }
 
     /// Handles a request that could not be sent, as if its owner had bounced it.
-    fn on_undelivered(&mut self, cx: &mut Cx<'_>, msg: RelayMsg) {
-        if let RelayMsg::Run(run) = msg {
-            self.on_bounce(cx, run.id, Bounce::Unavailable);
+    fn on_undelivered(&mut self, cx: &mut Cx<'_>, to: &PartAddr, msg: RelayMsg) {
+        match msg {
+            RelayMsg::Run(run) => self.on_bounce(cx, to, run.id, Bounce::Unavailable),
+            RelayMsg::Forward(read) => self.owners.on_forward_undelivered(cx, to, *read),
+            _ => {}
         }
     }
 
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -75,6 +75,10 @@
     pub(crate) leaving: Gauge,
     /// The number of broken links to other hosts, counted once by each part that learns of it.
     pub(crate) links_down: Counter,
+    /// Reads that this host forwarded to owners of sibling instances.
+    pub(crate) forwarded_reads: Counter,
+    /// Messages with the load of an instance that this host sent to other owners.
+    pub(crate) load_reports: Counter,
 }
 
 impl Metrics {
@@ -96,6 +100,12 @@
         let links_down = Counter::default();
         let help = "Broken links to other hosts, counted by each thread that learns of it";
         registry.register("links_down", help, links_down.clone());
+        let forwarded_reads = Counter::default();
+        let help = "Reads forwarded to an owner of a sibling instance";
+        registry.register("forwarded_reads", help, forwarded_reads.clone());
+        let load_reports = Counter::default();
+        let help = "Messages with an instance's load sent to other owners";
+        registry.register("load_reports", help, load_reports.clone());
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -111,6 +121,8 @@
             ),
             leaving: gauge("leaving", "Whether the host is leaving"),
             links_down,
+            forwarded_reads,
+            load_reports,
             requests: look_up_counters(&requests, request_labels()),
             refusals: look_up_counters(&refusals, refusal_labels()),
             queries: look_up_counters(&queries, QUERIES.map(query_label)),
--- a/crates/host/src/metrics_recorder.rs
+++ b/crates/host/src/metrics_recorder.rs
@@ -4,8 +4,9 @@
 
 use decide::caller::CallerEvent;
 use decide::conn::ConnEvent;
+use decide::relay::RelayMsg;
 use decide::session::SessionLogEvent;
-use decide::{Effect, Event, LogEvent, View};
+use decide::{Effect, Event, LogEvent, Msg, View};
 use model::{Answer, ConnId, HashMap, HashSet, Kind, Role, SessionId, UpstreamId, Verdict};
 
 use crate::metrics::{Metrics, RefusalScope};
@@ -82,11 +83,27 @@
             Effect::CloseConn(conn) => self.on_conn_closed(*conn),
             Effect::RunOnConn { .. } => self.metrics.count_statement(),
             Effect::QueryUpstream { query, .. } => self.metrics.count_query(query),
+            Effect::Send {
+                msg: Msg::Relay(msg),
+                ..
+            } => self.on_relay_msg_sent(msg),
             Effect::PublishView(view) => self.on_view_published(view),
             _ => {}
         }
     }
 
+    fn on_relay_msg_sent(&self, msg: &RelayMsg) {
+        match msg {
+            RelayMsg::Forward(_) => {
+                self.metrics.forwarded_reads.inc();
+            }
+            RelayMsg::Load { .. } => {
+                self.metrics.load_reports.inc();
+            }
+            _ => {}
+        }
+    }
+
     fn on_caller_event(&mut self, event: &CallerEvent) {
         match event {
             CallerEvent::Login { session, .. } => {
