balance: compare avoiding an instance whose owner forwarded a read

Cause: an owner forwards a bounded share of its reads, so that a near replica that is 9 times slower still rejected 26.9 % at 80 % load.

Change: the comparison has a way in which an entry host leaves out for 3 s an instance from which its read was forwarded. It needs no further messages, and is now the one that the test holds to the bounds.

--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -18,10 +18,12 @@
 const WORK_S: f64 = 0.014;
 /// Time that one forwarding takes on the way.
 const FORWARD_S: f64 = 0.001;
+/// How long an entry host avoids an instance from which its read was forwarded.
+const AVOID_S: f64 = 3.0;
 const READS: usize = 20_000;
 
-/// The ways to choose; the first is in use where nothing else is set.
-const WAYS: [&str; 8] = [
+/// The ways to choose; the first is in use where nothing else is set, the last is built.
+const WAYS: [&str; 9] = [
     "near-replica",
     "random",
     "two-choices",
@@ -30,6 +32,7 @@
     "forward",
     "random+forward",
     "two+forward",
+    "avoid+forward",
 ];
 
 /// One instance: when its slots are free, and the end of each request in it with its owner.
@@ -103,6 +106,7 @@
     let at = |now: f64| start + Duration::from_secs_f64(now);
     // What each entry host was told with its last answer of each instance, and the advertisement.
     let mut told = vec![[None::<(f64, LoadReport)>; 3]; HOSTS];
+    let mut forwarded = vec![[f64::NEG_INFINITY; 3]; HOSTS];
     let mut advertised = [LoadReport::default(); 3];
     let (mut now, mut next_report, mut waits, mut rejected) = (0.0, 0.0, Vec::new(), 0);
     for _ in 0..READS {
@@ -153,6 +157,13 @@
             }
             _ => near,
         };
+        // An instance whose owner has forwarded a read of this host lately is avoided.
+        let avoided = |i: usize| now - forwarded[host][i] < AVOID_S;
+        if way == "avoid+forward" && avoided(to) {
+            let others: Vec<usize> = (0..3).filter(|i| !avoided(*i)).collect();
+            let nth = rng.random_range(0..others.len().max(1));
+            to = others.get(nth).copied().unwrap_or(two[0]);
+        }
         let mut way_there = 0.0;
         if way.ends_with("forward") {
             let own = instances[to].load(now, Some(owner));
@@ -166,6 +177,7 @@
                 .collect();
             let choice = forwarders[to][owner].choose(at(now), &cfg, &names[to], own, &siblings);
             if let Some(choice) = choice {
+                forwarded[host][to] = now;
                 to = (0..3).find(|i| names[*i] == choice.upstream).unwrap_or(to);
                 way_there = FORWARD_S;
             }
@@ -190,8 +202,8 @@
     }
 }
 
-/// Guards against a default that another way beats: prints the comparison, and checks that
-/// forwarding shortens the tail and never rejects more than the choice in use before.
+/// Guards against a choice that is worse than the one in use where nothing is set: prints the
+/// comparison, and checks that the one built shortens the tail and rejects no more.
 #[test]
 fn forwarding_evens_the_load_with_information_of_each_age() {
     for slow in [[1.0, 1.0, 1.0], [1.0, 3.0, 9.0], [9.0, 3.0, 1.0]] {
@@ -205,10 +217,10 @@
                         "  {way:14} ratio {ratio:.2} p99 {wait:7.1} ms rejected {rejected:5.2} %"
                     );
                 }
-                let (today, forward) = (&figures[0], &figures[5]);
-                assert!(forward.rejected <= today.rejected, "{forward:?} {today:?}");
-                assert!(forward.p99_ms <= today.p99_ms, "{forward:?} {today:?}");
-                assert!(forward.ratio <= today.ratio, "{forward:?} {today:?}");
+                let (today, built) = (&figures[0], &figures[WAYS.len() - 1]);
+                assert!(built.rejected <= today.rejected.min(0.01), "{built:?}");
+                assert!(built.p99_ms <= today.p99_ms, "{built:?} {today:?}");
+                assert!(built.ratio <= today.ratio, "{built:?} {today:?}");
             }
         }
     }
