decide: avoid an upstream from which a read was forwarded

Cause: an owner forwards a bounded share of its reads to each sibling, so that a slow upstream keeps more than it can run, and each forwarded read makes one more way.

Change: an entry host that is told that its read was forwarded leaves out the first upstream for 3 s. The policy's own choice holds while nothing is forwarded.

--- a/crates/decide/src/entry/forwarded.rs
+++ b/crates/decide/src/entry/forwarded.rs
@@ -9,7 +9,8 @@
 
 impl<R: ReadPolicy, A: Admission> CallerRequests<R, A> {
     /// Records that an owner has forwarded a read, so that a cancellation, a check of silent owners
-    /// or the loss of a link concerns the owner that has it now.
+    /// or the loss of a link concerns the owner that has it now, and that the first upstream is
+    /// loaded.
     pub fn on_forwarded(
         &mut self,
         cx: &mut Cx<'_>,
@@ -22,9 +23,10 @@
         let Some(target) = target.filter(|to| to.owner == *from && to.pin.is_none()) else {
             return;
         };
-        target.upstream = upstream;
+        let loaded = std::mem::replace(&mut target.upstream, upstream);
         target.owner = owner.clone();
         target.forwarded_by = Some(from.host.clone());
+        self.router.failures.record_loaded(cx.now, &loaded);
         self.router.checks.expect(cx, &owner);
     }
 }
--- a/crates/decide/src/entry/pick.rs
+++ b/crates/decide/src/entry/pick.rs
@@ -81,7 +81,8 @@
             }
         }
         let usable = self.usable_upstreams(cx, view, service, pending.replica_behind);
-        self.policy.pick(cx, view, service, &usable)
+        let picked = self.policy.pick(cx, view, service, &usable)?;
+        Some(self.failures.replace_loaded(cx, picked, &usable))
     }
 
     /// Returns the upstreams of a service that may get a read now.
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -17,6 +17,9 @@
 const AVOID_UNAVAILABLE_FOR: Duration = Duration::from_millis(250);
 /// How long an owner that left a read unanswered is chosen only if there is no other.
 const AVOID_UNANSWERED_FOR: Duration = Duration::from_millis(500);
+/// How long an upstream from which a read was forwarded gets reads only if all are loaded. 0.25 s
+/// and 1 s left more reads to a slow upstream, of which its owners may forward only a share.
+const AVOID_LOADED_FOR: Duration = Duration::from_secs(3);
 
 /// Chooses the upstream for a read.
 pub trait ReadPolicy: Default {
@@ -93,6 +96,7 @@
     behind_until: HashMap<UpstreamId, Instant>,
     unavailable_until: HashMap<(UpstreamId, HostId), Instant>,
     unanswered_until: HashMap<(UpstreamId, HostId), Instant>,
+    loaded_until: HashMap<UpstreamId, Instant>,
 }
 
 impl RecentFailures {
@@ -116,6 +120,36 @@
             .insert(pair, now + AVOID_UNANSWERED_FOR);
     }
 
+    /// Records that an owner of an upstream has forwarded a read, since the upstream is loaded.
+    pub fn record_loaded(&mut self, now: Instant, upstream: &UpstreamId) {
+        self.loaded_until
+            .insert(upstream.clone(), now + AVOID_LOADED_FOR);
+    }
+
+    fn is_loaded(&self, now: Instant, upstream: &UpstreamId) -> bool {
+        self.loaded_until
+            .get(upstream)
+            .is_some_and(|until| now < *until)
+    }
+
+    /// Returns another upstream in place of a loaded one that a policy has chosen for a read: a
+    /// random one that is not known to be loaded, or any one if all are.
+    pub(crate) fn replace_loaded(
+        &self,
+        cx: &mut Cx<'_>,
+        picked: (UpstreamId, &'static str),
+        usable: &[&UpstreamId],
+    ) -> (UpstreamId, &'static str) {
+        if !self.is_loaded(cx.now, &picked.0) {
+            return picked;
+        }
+        let free = usable.iter().filter(|id| !self.is_loaded(cx.now, id));
+        let free: Vec<_> = free.copied().collect();
+        let among = if free.is_empty() { usable } else { &free };
+        let nth = cx.rng.random_range(0..among.len());
+        (among[nth].clone(), "others-loaded")
+    }
+
     /// Returns whether an owner has recently left a read on an upstream unanswered.
     fn left_unanswered(&self, now: Instant, upstream: &UpstreamId, owner: &HostId) -> bool {
         // Few pairs are recorded at a time: a scan needs no owned key, which a lookup would.
@@ -128,6 +162,7 @@
         self.behind_until.retain(|_, until| *until > now);
         self.unavailable_until.retain(|_, until| *until > now);
         self.unanswered_until.retain(|_, until| *until > now);
+        self.loaded_until.retain(|_, until| *until > now);
     }
 
     fn is_behind(&self, now: Instant, upstream: &UpstreamId) -> bool {
--- a/crates/decide/tests/forward.rs
+++ b/crates/decide/tests/forward.rs
@@ -5,6 +5,7 @@
 
 mod traffic_harness;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use balance::LoadReport;
@@ -14,9 +15,11 @@
 use decide::state::PartRole;
 use decide::traffic::TrafficPart;
 use decide::{Event, Msg, PartState, Settings};
+use model::config::ReadRule;
 use model::{Kind, PartAddr, Position, Request};
 use traffic_harness::{
-    Harness, advance, answer_and_count, first_run, host, take_addressed_msgs, two_owner_harness,
+    Harness, advance, answer_and_count, config, first_run, host, take_addressed_msgs,
+    two_owner_harness,
 };
 
 const IDLE: LoadReport = LoadReport {
@@ -325,3 +328,39 @@
     }
     assert!(owners.contains(&first), "the first owner is avoided");
 }
+
+/// Guards against reads that go on to a loaded upstream, each of which has to be forwarded, and
+/// against a loaded one that gets nothing after its load has passed.
+#[test]
+fn an_upstream_that_forwards_is_avoided_for_a_while() {
+    let mut entry = two_owner_harness(Settings::default());
+    let mut up = entry.view.upstreams["i1"].clone();
+    up.announcement.upstream = "i2".into();
+    entry.view.upstreams.insert("i2".into(), up);
+    let service = entry.view.services.get_mut("ledger").unwrap();
+    service.upstreams = vec!["i1".into(), "i2".into()];
+    let mut cfg = config(2);
+    let max_age = Duration::from_millis(1500);
+    cfg.routes.get_mut("pots").unwrap().reads = ReadRule::Bounded { max_age };
+    entry.view.config = Arc::new(cfg);
+    entry.publish_view();
+    let next = |entry: &mut Harness| {
+        entry.effects.clear();
+        entry.request(|req| req.repeatable = true);
+        first_run(&take_addressed_msgs(entry))
+    };
+    let (first, run) = next(&mut entry);
+    assert_eq!(&*run.upstream, "i2", "the replica comes first");
+    let (id, upstream, owner) = (run.id, "i1".into(), part("h3"));
+    let notice = RelayMsg::Forwarded {
+        id,
+        upstream,
+        owner,
+    };
+    receive(&mut entry, &first.host, notice);
+    for _ in 0..20 {
+        assert_eq!(&*next(&mut entry).1.upstream, "i1");
+    }
+    entry.now += Duration::from_secs(3);
+    assert_eq!(&*next(&mut entry).1.upstream, "i2");
+}
