balance: forward reads from an expected wait of 12 ms

Cause: the owner that a read is forwarded to may have to open a connection for the read's workspace, which occupies a slot for 12 ms; forwarding from a wait of 5 ms on spends more than it saves.

Change: the default of balance.forward_after is 12 ms.

--- a/crates/balance/src/settings.rs
+++ b/crates/balance/src/settings.rs
@@ -15,6 +15,9 @@
     /// A host of an earlier version drops the link on these messages: upgrade all hosts first.
     pub forward_reads: bool,
     /// The expected wait from which an owner forwards a read.
+    ///
+    /// The other owner may have to open a connection, which occupies a slot for 12 ms on the first
+    /// deployment: a shorter wait isn't worth that.
     #[serde(with = "humantime_serde")]
     pub forward_after: Duration,
     /// The shortest time between two reports of an instance's load by one owner.
@@ -27,7 +30,7 @@
         Self {
             preferred_owner: false,
             forward_reads: false,
-            forward_after: Duration::from_millis(5),
+            forward_after: Duration::from_millis(12),
             report_interval: Duration::from_millis(100),
         }
     }
