--- a/crates/decide/src/entry/pick.rs
+++ b/crates/decide/src/entry/pick.rs
@@ -32,14 +32,15 @@
     ) -> Option<(Target, &'static str)> {
         let service = view.services.get(&pending.req.service)?;
         let (upstream, reason) = self.pick_upstream(cx, view, service, pending)?;
+        let workspace = &pending.req.workspace;
         let owner = self
             .failures
-            .pick_owner(cx, view, &self.checks, &upstream)?;
-        let pin = None;
+            .pick_owner(cx, view, &self.checks, &upstream, workspace)?;
         let target = Target {
             upstream,
             owner,
-            pin,
+            pin: None,
+            forwarded_by: None,
         };
         Some((target, reason))
     }
@@ -81,7 +82,8 @@
             }
         }
         let usable = self.usable_upstreams(cx, view, service, pending.replica_behind);
-        self.policy.pick(cx, view, service, &usable)
+        let picked = self.policy.pick(cx, view, service, &usable)?;
+        Some(self.failures.replace_loaded(cx, picked, &usable))
     }
 
     /// Returns whether a request can't run as long as data centres are evacuated: all instances that
--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -14,6 +14,8 @@
 pub(crate) mod dispatch;
 pub(crate) mod drain;
 pub(crate) mod evacuation;
+pub(crate) mod forward;
+pub(crate) mod forward_log_event;
 pub(crate) mod held_acks;
 pub(crate) mod job;
 pub(crate) mod log_event;
@@ -33,6 +35,7 @@
 use crate::conn::ConnEvent;
 use crate::event::ProbeResult;
 use crate::owner::ack_gate::{AckGate, AckStopMsg};
+use crate::owner::forward::Forwards;
 use crate::owner::held_acks::HeldAcks;
 use crate::owner::job::Job;
 use crate::owner::primary_position::{PositionMsg, PrimaryPositions};
@@ -44,6 +47,7 @@
 use crate::upstream_query::{QueryError, QueryId, QueryReply};
 use crate::{Cx, View};
 
+pub use crate::owner::forward_log_event::ForwardLogEvent;
 pub use crate::owner::log_event::{LoggedRequest, OwnerLogEvent};
 pub use crate::owner::settings::{CapacitySource, OwnerSettings};
 
@@ -56,6 +60,8 @@
 pub struct OwnedUpstreams<Q: QueueDiscipline = Drr, W: WaitPolicy = WaitIfSoon> {
     upstreams: HashMap<UpstreamId, Upstream<Q, W>>,
     shared: SharedState,
+    /// The loads of sibling instances, and the reads that were forwarded to them.
+    forwards: Forwards,
     /// Whether this host is shutting down and accepts no new work.
     leaving: bool,
     /// While leaving: when the transactions that are still open are rolled back.
@@ -94,6 +100,7 @@
         Self {
             upstreams: HashMap::default(),
             shared: SharedState::default(),
+            forwards: Forwards::default(),
             leaving: false,
             leave_deadline: None,
         }
@@ -134,6 +141,7 @@
         self.upstreams
             .retain(|_, upstream| upstream.live || !upstream.is_drained());
         self.shared.held_acks.ask_replicas(cx, view);
+        self.forwards.on_view(view);
     }
 
     /// Applies a probe result: the upstream's status and this host's claim on it.
@@ -170,6 +178,8 @@
             None => upstream.admit(cx, job),
         }
         upstream.reconcile(cx, &mut self.shared);
+        let id = upstream.id.clone();
+        self.report_load(cx, view, &id);
     }
 
     /// Removes a queued request; one that has started is not stopped.
@@ -223,12 +233,15 @@
             } => upstream.on_conn_lost(cx, shared, conn, sent, reason),
         }
         upstream.reconcile(cx, shared);
+        let id = upstream.id.clone();
         shared.held_acks.ask_replicas(cx, view);
+        self.report_load(cx, view, &id);
     }
 
     /// Drops the queued requests, the answers held back and the idle transactions of an entry host
     /// whose link is down.
     pub fn on_link_down(&mut self, cx: &mut Cx<'_>, host: &HostId) {
+        self.forwards.on_link_down(cx, host);
         self.shared.unconfirmed.drop_for_host(host);
         self.shared.held_acks.drop_for_host(host);
         for upstream in self.upstreams.values_mut() {
--- a/crates/decide/src/settings.rs
+++ b/crates/decide/src/settings.rs
@@ -10,6 +10,8 @@
 use crate::session::SessionSettings;
 use crate::spread::SpreadSettings;
 
+pub use balance::BalanceSettings;
+
 /// The settings that decisions depend on, one table for each feature.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -28,4 +30,6 @@
     pub grant: GrantSettings,
     /// Capacity under pressure.
     pub room: RoomSettings,
+    /// Choice of instances and owners by load.
+    pub balance: BalanceSettings,
 }
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -9,6 +9,7 @@
 use decide::owner::OwnerSettings;
 use decide::raft::RaftSettings;
 use decide::session::SessionSettings;
+use decide::settings::BalanceSettings;
 use decide::spread::SpreadSettings;
 use model::{DataCentreId, HostId};
 use room::RoomSettings;
@@ -65,6 +66,8 @@
     pub grant: GrantSettings,
     /// Capacity under pressure.
     pub room: RoomSettings,
+    /// Choice of instances and owners by load.
+    pub balance: BalanceSettings,
 }
 
 impl HostSettings {
@@ -87,6 +90,7 @@
             spread: self.spread.clone(),
             grant: self.grant.clone(),
             room: self.room.clone(),
+            balance: self.balance.clone(),
         }
     }
 }
@@ -117,6 +121,7 @@
             spread: SpreadSettings::default(),
             grant: GrantSettings::default(),
             room: RoomSettings::default(),
+            balance: BalanceSettings::default(),
         }
     }
 }
