entry: keep second attempts within a budget, and charge hedges that are answered late

Cause: a request that was sent back was sent again every 5 to 80 ms until its deadline, and each host could hedge 20 reads at once and a tenth of all: on a deployment with many hosts that is hundreds of hedged reads a second, which all go to instances that are already overloaded.

A hedge that is answered as soon as reads are hedged gives back what it has cost, as its instance has spare capacity, so that the budget can be small without leaving reads at a silent instance.

--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -19,6 +19,7 @@
 use model::{
     Answer, ConnId, HostId, Kind, Refusal, Request, RequestId, SessionId, TxStatus, Verdict,
 };
+use room::RetryBudget;
 
 use crate::admit::{Admission, Admit};
 use crate::entry::budget::{HedgeBudget, HedgeBudgetSettings};
@@ -45,6 +46,7 @@
     admission: A,
     requests: PendingRequests,
     hedge_budget: HedgeBudget,
+    retry_budget: RetryBudget,
 }
 
 impl<R: ReadPolicy, A: Admission> CallerRequests<R, A> {
@@ -55,6 +57,7 @@
             admission,
             requests: PendingRequests::default(),
             hedge_budget: HedgeBudget::new(hedge_budget),
+            retry_budget: RetryBudget::default(),
         }
     }
 
@@ -141,6 +144,7 @@
             last_refusal: Refusal::NoUpstream,
             replica_behind: false,
             earlier_attempt: None,
+            hedged_at: None,
             answered: false,
             may_have_run: false,
         };
@@ -210,6 +214,9 @@
         };
         cx.send(target.owner.clone(), RelayMsg::Run(Box::new(run)));
         self.router.checks.expect(cx, &target.owner);
+        if pending.attempts == 0 {
+            self.retry_budget.on_first_attempt();
+        }
         pending.attempts += 1;
         pending.timer_at = pending.deadline + cx.settings.session.answer_grace;
         if target.pin.is_none() && pending.can_be_hedged() {
@@ -303,6 +310,9 @@
             pending.target = Some(target.clone());
             return self.requests.insert(*other_id, pending);
         }
+        if answer.verdict == Verdict::Ran {
+            self.refund_useful_hedge(cx, pending.hedged_at);
+        }
         if let Some((id, target)) = other {
             cx.send(target.owner, RelayMsg::Cancel { id });
         }
@@ -384,7 +394,7 @@
                     .failures
                     .record_unavailable(cx.now, &target.upstream, owner);
                 pending.last_refusal = Refusal::NoUpstream;
-                if pending.attempts <= 1 {
+                if pending.attempts <= 1 && self.may_retry(cx) {
                     return self.send_or_park(cx, view, sessions, pending);
                 }
             }
@@ -457,6 +467,9 @@
         self.router.failures.expire(cx.now);
         while let Some((id, pending)) = self.requests.remove_due(cx.now) {
             match &pending.target {
+                None if pending.admitted && cx.now < pending.deadline && !self.may_retry(cx) => {
+                    self.park(cx, pending);
+                }
                 None => self.send_or_park(cx, view, sessions, pending),
                 Some(_) if cx.now < pending.deadline => {
                     self.send_hedge(cx, view, sessions, id, pending)
--- a/crates/decide/src/entry/budget.rs
+++ b/crates/decide/src/entry/budget.rs
@@ -46,6 +46,11 @@
         self.available = (self.available + self.settings.ratio).min(self.settings.burst);
     }
 
+    /// Gives back what a second attempt has cost.
+    pub fn refund(&mut self) {
+        self.available = (self.available + 1.0).min(self.settings.burst);
+    }
+
     /// Takes one second attempt out of the budget; returns `false` if none is left.
     pub fn try_spend(&mut self) -> bool {
         let affordable = self.available >= 1.0;
--- a/crates/decide/src/entry/hedge.rs
+++ b/crates/decide/src/entry/hedge.rs
@@ -1,5 +1,7 @@
 //! Hedged reads: a read without an answer is sent to a second owner.
 
+use std::time::Instant;
+
 use model::RequestId;
 
 use crate::admit::Admission;
@@ -29,6 +31,21 @@
         self.send_to_another_owner(cx, view, sessions, id, pending);
     }
 
+    /// Returns whether a request that was sent back may be sent again now.
+    pub(super) fn may_retry(&mut self, cx: &Cx<'_>) -> bool {
+        !cx.settings.room.limit_retries || self.retry_budget.try_spend(cx.now)
+    }
+
+    /// Gives the budget for hedges back what an attempt has cost, if it was answered as soon as
+    /// hedges are made: the upstream that ran it has spare capacity.
+    pub(super) fn refund_useful_hedge(&mut self, cx: &Cx<'_>, hedged_at: Option<Instant>) {
+        let soon = cx.settings.session.hedge_after.unwrap_or_default();
+        let useful = hedged_at.is_some_and(|at| cx.now.saturating_duration_since(at) < soon);
+        if useful && cx.settings.room.limit_retries {
+            self.hedge_budget.refund();
+        }
+    }
+
     /// Sends a read to another owner, while the answer of the first may still come.
     pub(super) fn send_to_another_owner(
         &mut self,
@@ -54,6 +71,7 @@
             waited: cx.now.saturating_duration_since(pending.received_at),
         });
         pending.earlier_attempt = Some((id, target));
+        pending.hedged_at = Some(cx.now);
         self.send_or_park(cx, view, sessions, pending);
     }
 }
--- a/crates/decide/src/entry/pending.rs
+++ b/crates/decide/src/entry/pending.rs
@@ -50,6 +50,8 @@
     pub(crate) replica_behind: bool,
     /// The attempt before a hedge, which may still be answered.
     pub(crate) earlier_attempt: Option<(RequestId, Target)>,
+    /// When the latest attempt was sent as a hedge, if it was.
+    pub(crate) hedged_at: Option<Instant>,
     /// Whether its caller has been answered, and only the end of the attempt is awaited, to roll
     /// back what it opens.
     pub(crate) answered: bool,
@@ -119,7 +121,8 @@
 
     /// Removes the request that an answer belongs to, with the answered attempt as its target.
     ///
-    /// Returns the other attempt too, if the request was hedged.
+    /// Returns the other attempt too, if the request was hedged. `hedged_at` is left if the hedge was
+    /// answered.
     pub(crate) fn remove_answered(
         &mut self,
         id: RequestId,
@@ -128,6 +131,7 @@
             let mut pending = self.remove(newest)?;
             let other = pending.target.take().map(|target| (newest, target));
             pending.target = pending.earlier_attempt.take().map(|(_, target)| target);
+            pending.hedged_at = None;
             return Some((pending, other));
         }
         let mut pending = self.remove(id)?;
--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -37,6 +37,9 @@
     settings.grant.max_wait = Duration::from_millis(40);
     settings.room.limit_concurrency = true;
     settings.room.rank_requests = true;
+    settings.room.limit_retries = true;
+    settings.session.hedge.ratio = 0.02;
+    settings.session.hedge.burst = 2.0;
     settings
 }
 
--- a/crates/decide/tests/owner_retry.rs
+++ b/crates/decide/tests/owner_retry.rs
@@ -49,3 +49,20 @@
     breaker.on_success();
     assert!(breaker.allow(now, &settings));
 }
+
+/// Guards against requests that nothing can run and that are sent again until their deadlines.
+#[test]
+fn second_attempts_stay_a_share_of_the_first_ones() {
+    let mut budget = room::RetryBudget::default();
+    let mut now = Instant::now();
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        now += std::time::Duration::from_millis(1);
+        budget.on_first_attempt();
+        while budget.try_spend(now) {
+            retries += 1;
+        }
+    }
+    // A fifth of the first attempts, five a second for 10 s, and the budget of the start.
+    assert!((2040..=2070).contains(&retries), "{retries} retries");
+}
--- a/crates/room/src/lib.rs
+++ b/crates/room/src/lib.rs
@@ -8,9 +8,11 @@
 mod limit;
 mod pace;
 mod rank;
+mod retry;
 mod settings;
 
 pub use limit::ConcurrencyLimit;
 pub use pace::Pace;
 pub use rank::Waiting;
+pub use retry::RetryBudget;
 pub use settings::RoomSettings;
--- a/crates/room/src/settings.rs
+++ b/crates/room/src/settings.rs
@@ -16,4 +16,8 @@
     ///
     /// On a route, any wait for a token then ends before a quarter of the objective.
     pub refuse_over_rate: bool,
+    /// Whether an entry host limits how often it sends requests again.
+    ///
+    /// Hedged reads that are answered soon are then free of charge.
+    pub limit_retries: bool,
 }
