owner: send reads back at once from an instance that refuses everything

Cause: with the concurrency limit, requests that were answered busy stay in the queue. At an instance that answers nothing but busy they stayed until they were late, although other instances could run them.

--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -21,14 +21,13 @@
 };
 use room::RetryBudget;
 
-use crate::admit::{Admission, Admit};
+use crate::admit::Admission;
 use crate::entry::budget::{HedgeBudget, HedgeBudgetSettings};
 use crate::entry::pending::{
     PendingRequest, PendingRequests, answer_caller, answer_without_result, backoff, roll_back_at,
     roll_back_pin,
 };
 use crate::entry::pick::Router;
-use crate::entry::token_wait::token_wait;
 use crate::grant::PartTokenGrant;
 use crate::owner::CapacitySource;
 use crate::relay::{Bounce, RelayMsg, RunRequest};
@@ -230,50 +229,6 @@
         self.requests.insert(id, pending);
     }
 
-    /// Returns the request if its workspace's rate limit admits it.
-    ///
-    /// Otherwise the request waits for a token or is refused, and nothing is returned.
-    fn admit(
-        &mut self,
-        cx: &mut Cx<'_>,
-        sessions: &mut Sessions,
-        mut pending: PendingRequest,
-    ) -> Option<PendingRequest> {
-        if pending.admitted {
-            return Some(pending);
-        }
-        let wait = token_wait(cx, sessions, &pending);
-        let workspace = &pending.req.workspace;
-        match self.admission.try_admit(cx.now, workspace, wait) {
-            Admit::Now => {
-                pending.admitted = true;
-                Some(pending)
-            }
-            Admit::Wait(wait) if cx.now + wait < pending.deadline => {
-                pending.timer_at = cx.now + wait;
-                let id = self.requests.next_attempt_id(cx);
-                self.requests.insert(id, pending);
-                None
-            }
-            Admit::Wait(_) => {
-                self.abandon_admission(&pending);
-                answer_without_result(cx, sessions, pending, Verdict::NotRun(Refusal::OverRate));
-                None
-            }
-            Admit::Refuse => {
-                answer_without_result(cx, sessions, pending, Verdict::NotRun(Refusal::OverRate));
-                None
-            }
-        }
-    }
-
-    /// Tells the rate limit that a request no longer waits for a token.
-    fn abandon_admission(&mut self, pending: &PendingRequest) {
-        if !pending.admitted {
-            self.admission.abandon(&pending.req.workspace);
-        }
-    }
-
     /// Keeps a request that no upstream can run now, and schedules its next attempt.
     fn park(&mut self, cx: &mut Cx<'_>, mut pending: PendingRequest) {
         let id = self.requests.next_attempt_id(cx);
@@ -368,6 +323,14 @@
         }
         pending.may_have_run |= may_have_run;
         match why {
+            Bounce::Refused(Refusal::Overloaded)
+                if cx.settings.room.limit_concurrency && pending.attempts <= 1 =>
+            {
+                // The upstream refuses all requests; others may have spare capacity.
+                self.router.failures.record_behind(cx.now, &target.upstream);
+                pending.last_refusal = Refusal::Overloaded;
+                return self.send_or_park(cx, view, sessions, pending);
+            }
             Bounce::Refused(refusal) => {
                 return answer_without_result(cx, sessions, pending, Verdict::NotRun(refusal));
             }
--- a/crates/decide/src/owner/conn_events.rs
+++ b/crates/decide/src/owner/conn_events.rs
@@ -263,6 +263,12 @@
         }
         match verdict {
             Err(UnusableOutcome::Behind) => running.job.bounce(cx, Bounce::Behind),
+            Err(UnusableOutcome::Busy)
+                if self.is_refusing(cx) && running.job.may_run_elsewhere() =>
+            {
+                let why = Bounce::Refused(Refusal::Overloaded);
+                running.job.bounce(cx, why);
+            }
             Err(UnusableOutcome::Busy) if limits => {
                 self.push_job(running.job, true);
             }
--- a/crates/decide/src/owner/dispatch.rs
+++ b/crates/decide/src/owner/dispatch.rs
@@ -44,6 +44,9 @@
 
     /// Queues a request, or refuses it if it is not expected to run before its deadline.
     pub(crate) fn enqueue(&mut self, cx: &mut Cx<'_>, mut job: Job) {
+        if self.turns_away(cx, &job) {
+            return job.bounce(cx, Bounce::Refused(Refusal::Overloaded));
+        }
         job.cost = self.queue.expected_cost(&job.run.req.workspace);
         let urgent = job.run.pin.is_some();
         let mut slots = self.claimed_slots(cx.now).max(1);
@@ -79,6 +82,31 @@
         self.pace.expected_wait(ahead, slots)
     }
 
+    /// Returns whether the upstream has answered nothing but busy for some time.
+    pub(crate) fn is_refusing(&self, cx: &Cx<'_>) -> bool {
+        cx.settings.room.limit_concurrency && self.limit.is_refusing(cx.now)
+    }
+
+    /// Returns whether a request is sent back at once, since the upstream refuses everything and
+    /// another one may run it; one at a time is let through to see whether that has changed.
+    fn turns_away(&self, cx: &Cx<'_>, job: &Job) -> bool {
+        let is_probed = !self.queue.is_empty() || !self.running.is_empty();
+        self.is_refusing(cx) && job.may_run_elsewhere() && (is_probed || self.usable_slots(cx) == 0)
+    }
+
+    /// Sends the requests back that wait for an upstream which refuses everything, but for the
+    /// first one and those that no other upstream may run.
+    fn empty_refused_queue(&mut self, cx: &mut Cx<'_>) {
+        if !self.is_refusing(cx) || self.queue.is_empty() {
+            return;
+        }
+        let mut kept = false;
+        let is_surplus = |job: &Job| job.may_run_elsewhere() && std::mem::replace(&mut kept, true);
+        for job in self.queue.drain_where(is_surplus) {
+            job.bounce(cx, Bounce::Refused(Refusal::Overloaded));
+        }
+    }
+
     /// Refuses the queued requests that can't meet their objective any more, while others that can
     /// wait for every slot.
     ///
@@ -129,6 +157,7 @@
             self.stop_work(cx, shared);
         }
         self.dispatch(cx);
+        self.empty_refused_queue(cx);
         self.refuse_late(cx);
         if self.queue.is_empty() {
             self.queue_expires_at = None;
--- a/crates/decide/src/owner/job.rs
+++ b/crates/decide/src/owner/job.rs
@@ -107,6 +107,11 @@
         unbounded && !self.may_write()
     }
 
+    /// Returns whether an upstream other than the primary may run it.
+    pub(crate) fn may_run_elsewhere(&self) -> bool {
+        self.run.pin.is_none() && !self.may_write() && !self.reads_newest()
+    }
+
     /// Returns what log lines say of it.
     pub(crate) fn for_log(&self) -> LoggedRequest {
         LoggedRequest {
--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -23,6 +23,7 @@
         burst: secs(11)..secs(14),
         burst_factor: 1.7,
         idle_transactions: secs(9)..secs(14),
+        busy_replica: secs(24)..secs(24),
         length: secs(24),
     }
 }
@@ -109,3 +110,23 @@
         assert!(with[0] > without[0] && with[1] > without[1]);
     }
 }
+
+/// Guards against requests that wait for an instance which answers busy indefinitely while others
+/// can run them, and against one that stays out of use after that.
+#[test]
+fn a_replica_that_refuses_everything_costs_its_requests_nothing() {
+    let day = Day {
+        lag: secs(0)..secs(0),
+        burst: secs(0)..secs(0),
+        idle_transactions: secs(16)..secs(16),
+        busy_replica: secs(5)..secs(10),
+        length: secs(14),
+        ..lag_and_burst()
+    };
+    for seed in SEEDS {
+        let seconds = play(&day, &settings(), seed);
+        let prompt = [&seconds[2..5], &seconds[5..10], &seconds[11..14]].map(prompt);
+        println!("seed {seed}: prompt before, during and after: {prompt:.3?}");
+        assert!(prompt[1] >= 0.95 && prompt[2] >= 0.99);
+    }
+}
--- a/crates/decide/tests/overload_world/mod.rs
+++ b/crates/decide/tests/overload_world/mod.rs
@@ -49,6 +49,8 @@
     pub(crate) burst_factor: f64,
     /// When idle transactions hold most connections to the primary.
     pub(crate) idle_transactions: Range<Duration>,
+    /// When one replica answers everything busy.
+    pub(crate) busy_replica: Range<Duration>,
     pub(crate) length: Duration,
 }
 
--- a/crates/decide/tests/overload_world/upstreams.rs
+++ b/crates/decide/tests/overload_world/upstreams.rs
@@ -41,7 +41,11 @@
 
     /// Gives an instance work; returns whether it accepts it.
     pub(super) fn give(&mut self, instance: usize, work: Work, time: Duration) -> bool {
-        let accepted = self.instances[instance].accept(work, time);
+        let refuses = instance == 1 && self.day.busy_replica.contains(&self.now);
+        let accepted = match refuses {
+            true => Err(()),
+            false => self.instances[instance].accept(work, time),
+        };
         if accepted == Ok(true) {
             self.at(self.now + time, SimEvent::Finished(instance, work));
         }
