owner: log event 260 when an instance's concurrency limit leaves or reaches an end

Operators see from it which host holds back which upstream, since when and with how many requests queued. Limits between one statement and the claim's slots are not logged, so that an instance that is busy on and off writes a few lines for each time.

--- a/crates/decide/src/owner/conn_events.rs
+++ b/crates/decide/src/owner/conn_events.rs
@@ -193,20 +193,14 @@
         };
         let took = cx.now.duration_since(running.started_at);
         let workspace = &running.job.run.req.workspace;
-        let slots = self.claimed_slots(cx.now);
         match outcome.rejected {
             // The time of a rejection says nothing of the time that the request takes if it runs.
             Some(_) => self.queue.refund(workspace, running.charge),
-            None => {
-                self.queue
-                    .record_service_time(workspace, running.charge, took);
-                self.limit.on_success(slots);
-            }
-        }
-        let limits = cx.settings.room.limit_concurrency;
-        if limits && outcome.rejected == Some(UpstreamRejection::Busy) {
-            self.limit.on_busy(cx.now, running.started_at, slots);
+            None => self
+                .queue
+                .record_service_time(workspace, running.charge, took),
         }
+        self.adjust_limit(cx, running.started_at, outcome.rejected);
         self.last_answer_at = Some(cx.now);
         self.breaker.on_success();
         for status in outcome.status_before.iter().chain(&outcome.status_after) {
@@ -269,7 +263,7 @@
                 let why = Bounce::Refused(Refusal::Overloaded);
                 running.job.bounce(cx, why);
             }
-            Err(UnusableOutcome::Busy) if limits => {
+            Err(UnusableOutcome::Busy) if cx.settings.room.limit_concurrency => {
                 self.push_job(running.job, true);
             }
             Err(UnusableOutcome::Busy) => self.requeue(cx, running.job),
--- a/crates/decide/src/owner/dispatch.rs
+++ b/crates/decide/src/owner/dispatch.rs
@@ -9,10 +9,11 @@
 //!   owners work out their shares from announcements, the upstream refuses by itself, and each
 //!   answer carries its position.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use model::{Refusal, Role};
 
+use crate::conn::UpstreamRejection;
 use crate::group::GroupMsg;
 use crate::owner::SharedState;
 use crate::owner::job::{Job, RunningJob};
@@ -82,6 +83,36 @@
         self.pace.expected_wait(ahead, slots)
     }
 
+    /// Adjusts the concurrency limit to the response to a request that started at `started_at`.
+    pub(crate) fn adjust_limit(
+        &mut self,
+        cx: &mut Cx<'_>,
+        started_at: Instant,
+        rejected: Option<UpstreamRejection>,
+    ) {
+        if !cx.settings.room.limit_concurrency {
+            return;
+        }
+        let slots = self.claimed_slots(cx.now);
+        let before = self.limit.limit(slots);
+        match rejected {
+            Some(UpstreamRejection::Busy) => self.limit.on_busy(cx.now, started_at, slots),
+            Some(_) => {}
+            None => self.limit.on_success(slots),
+        }
+        let limit = self.limit.limit(slots);
+        // One line for each time that the limit leaves or reaches one of its ends.
+        let is_end = |limit: u32| limit == slots || limit == 1;
+        if limit != before && (is_end(limit) || before == slots) {
+            cx.log(OwnerLogEvent::LimitChanged {
+                upstream: self.id.clone(),
+                slots,
+                limit,
+                queued: self.queue.len(),
+            });
+        }
+    }
+
     /// Returns whether the upstream has answered nothing but busy for some time.
     pub(crate) fn is_refusing(&self, cx: &Cx<'_>) -> bool {
         cx.settings.room.limit_concurrency && self.limit.is_refusing(cx.now)
--- a/crates/decide/src/owner/log_event.rs
+++ b/crates/decide/src/owner/log_event.rs
@@ -93,6 +93,17 @@
         /// How many connections this host may hold to it.
         connections: u32,
     },
+    /// Busy or successful responses have changed how many statements may run on an upstream.
+    LimitChanged {
+        /// The upstream concerned.
+        upstream: UpstreamId,
+        /// How many statements this host may run there by its claim.
+        slots: u32,
+        /// How many it runs at most, since the upstream accepts no more.
+        limit: u32,
+        /// How many requests wait for it.
+        queued: usize,
+    },
 }
 
 /// The request that a log line is about; displayed as `key=value` pairs.
@@ -139,6 +150,7 @@
             Self::BreakerOpened { .. } => 207,
             Self::Claimed { .. } => 208,
             Self::DrainEnded { .. } => 209,
+            Self::LimitChanged { .. } => 260,
         }
     }
 
@@ -152,6 +164,7 @@
             | Self::Refused { .. }
             | Self::Bounced { .. }
             | Self::Claimed { .. }
+            | Self::LimitChanged { .. }
             | Self::DrainEnded { .. } => log::Level::Info,
             Self::ConnLost { .. } | Self::TransactionLost { .. } | Self::BreakerOpened { .. } => {
                 log::Level::Warn
@@ -209,6 +222,15 @@
                 f,
                 "drain-ended upstream={upstream} primary={is_primary} queued={queued}"
             ),
+            Self::LimitChanged {
+                upstream,
+                slots,
+                limit,
+                queued,
+            } => write!(
+                f,
+                "limit-changed upstream={upstream} slots={slots} limit={limit} queued={queued}"
+            ),
             Self::BreakerOpened { upstream } => write!(f, "breaker-opened upstream={upstream}"),
             Self::Claimed {
                 upstream,
