owner, test: random events with an upstream that is busy and the room settings on

The random events of the owner's test now run a second time for each seed with a third of the responses being refusals, most of them busy, and with room.limit_concurrency and rank_requests on, so that each request still gets one reply, runs at most once and never beyond the claim. The runs of before are unchanged, as are their random numbers.

--- a/crates/decide/tests/owner.rs
+++ b/crates/decide/tests/owner.rs
@@ -158,9 +158,9 @@
 #[test]
 fn random_events_break_no_promise() {
     let mut counts = std::collections::BTreeMap::<&str, u64>::new();
-    for seed in 1..=80 {
-        println!("seed {seed}");
-        let mut chaos = Chaos::new(seed);
+    for (seed, busy) in (1..=80).flat_map(|seed| [(seed, false), (seed, true)]) {
+        println!("seed {seed}, busy {busy}");
+        let mut chaos = Chaos::new(seed, busy);
         chaos.run(400);
         for (what, count) in &chaos.counts {
             *counts.entry(what).or_default() += count;
--- a/crates/decide/tests/owner_chaos/mod.rs
+++ b/crates/decide/tests/owner_chaos/mod.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use decide::conn::{ConnEvent, LossReason, RunOutcome};
+use decide::conn::{ConnEvent, LossReason, RunOutcome, UpstreamRejection};
 use decide::event::ProbeResult;
 use decide::queue::Drr;
 use decide::relay::RunRequest;
@@ -15,6 +15,7 @@
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use room::RoomSettings;
 
 use crate::owner_harness::OwnerHarness;
 
@@ -64,9 +65,15 @@
 }
 
 impl Chaos {
-    /// Returns a run that has not started.
-    pub(crate) fn new(seed: u64) -> Self {
+    /// Returns a run that has not started; `busy` lets the upstream answer busy too, and turns on
+    /// what owners do about that.
+    pub(crate) fn new(seed: u64, busy: bool) -> Self {
         let mut harness = OwnerHarness::new();
+        harness.settings.room = RoomSettings {
+            limit_concurrency: busy,
+            rank_requests: busy,
+            ..RoomSettings::default()
+        };
         harness.run_script("upstream u1\nset pause=2s leave=5s idle=3s");
         let claim = (0, 0, harness.now());
         Self {
@@ -270,7 +277,8 @@
         }
         let state = self.conns.get_mut(&conn).unwrap();
         let wrote = sent.run.req.kind == Kind::Write || state.wrote;
-        let refused = self.rng.random_bool(0.05);
+        let busy = self.harness.settings.room.limit_concurrency;
+        let refused = self.rng.random_bool(if busy { 0.3 } else { 0.05 });
         let stays_open = sent.run.req.in_transaction && self.rng.random_bool(0.7);
         let tx = match (refused, stays_open) {
             (true, _) if state.transaction.is_some() => TxStatus::Failed,
@@ -293,7 +301,7 @@
             outcome: RunOutcome {
                 payload: Bytes::new(),
                 tx,
-                rejected: refused.then_some(decide::conn::UpstreamRejection::NotPrimary),
+                rejected: refused.then(|| self.rejection()),
                 position: None,
                 status_before: Some(status.clone()),
                 status_after: Some(status),
@@ -301,6 +309,15 @@
         }
     }
 
+    /// Returns why the upstream refuses a request.
+    fn rejection(&mut self) -> UpstreamRejection {
+        let busy = self.harness.settings.room.limit_concurrency && self.rng.random_bool(0.7);
+        match busy {
+            true => UpstreamRejection::Busy,
+            false => UpstreamRejection::NotPrimary,
+        }
+    }
+
     /// Returns a random status of the upstream.
     fn status(&mut self) -> InstanceStatus {
         let primary = self.rng.random_bool(0.9);
--- a/crates/decide/tests/owner_harness/mod.rs
+++ b/crates/decide/tests/owner_harness/mod.rs
@@ -27,7 +27,7 @@
     start: Instant,
     now: Instant,
     me: HostInfo,
-    settings: Settings,
+    pub(crate) settings: Settings,
     rng: SmallRng,
     raised: VecDeque<Event>,
     effects: Vec<Effect>,
