--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -21,15 +21,15 @@
     Answer, ConnId, HostId, Kind, PartAddr, Refusal, Request, RequestId, SessionId, TxStatus,
     Verdict,
 };
+use room::RetryBudget;
 
-use crate::admit::{Admission, Admit};
+use crate::admit::Admission;
 use crate::entry::budget::{HedgeBudget, HedgeBudgetSettings};
 use crate::entry::pending::{
     PendingRequest, PendingRequests, answer_caller, answer_without_result, backoff, roll_back_at,
     roll_back_pin,
 };
 use crate::entry::pick::Router;
-use crate::entry::token_wait::token_wait;
 use crate::grant::PartTokenGrant;
 use crate::owner::CapacitySource;
 use crate::relay::{Bounce, RelayMsg, RunRequest};
@@ -47,6 +47,7 @@
     admission: A,
     requests: PendingRequests,
     hedge_budget: HedgeBudget,
+    retry_budget: RetryBudget,
 }
 
 impl<R: ReadPolicy, A: Admission> CallerRequests<R, A> {
@@ -57,6 +58,7 @@
             admission,
             requests: PendingRequests::default(),
             hedge_budget: HedgeBudget::new(hedge_budget),
+            retry_budget: RetryBudget::default(),
         }
     }
 
@@ -143,6 +145,7 @@
             last_refusal: Refusal::NoUpstream,
             replica_behind: false,
             earlier_attempt: None,
+            hedged_at: None,
             answered: false,
             may_have_run: false,
         };
@@ -216,6 +219,9 @@
         };
         cx.send(target.owner.clone(), RelayMsg::Run(Box::new(run)));
         self.router.checks.expect(cx, &target.owner);
+        if pending.attempts == 0 {
+            self.retry_budget.on_first_attempt();
+        }
         pending.attempts += 1;
         pending.timer_at = pending.deadline + cx.settings.session.answer_grace;
         if target.pin.is_none() && pending.can_be_hedged() {
@@ -229,50 +235,6 @@
         self.requests.insert(id, pending);
     }
 
-    /// Returns the request if its workspace's rate limit admits it.
-    ///
-    /// Otherwise the request waits for a token or is refused, and nothing is returned.
-    fn admit(
-        &mut self,
-        cx: &mut Cx<'_>,
-        sessions: &mut Sessions,
-        mut pending: PendingRequest,
-    ) -> Option<PendingRequest> {
-        if pending.admitted {
-            return Some(pending);
-        }
-        let wait = token_wait(cx, sessions, &pending);
-        let workspace = &pending.req.workspace;
-        match self.admission.try_admit(cx.now, workspace, wait) {
-            Admit::Now => {
-                pending.admitted = true;
-                Some(pending)
-            }
-            Admit::Wait(wait) if cx.now + wait < pending.deadline => {
-                pending.timer_at = cx.now + wait;
-                let id = self.requests.next_attempt_id(cx);
-                self.requests.insert(id, pending);
-                None
-            }
-            Admit::Wait(_) => {
-                self.abandon_admission(&pending);
-                answer_without_result(cx, sessions, pending, Verdict::NotRun(Refusal::OverRate));
-                None
-            }
-            Admit::Refuse => {
-                answer_without_result(cx, sessions, pending, Verdict::NotRun(Refusal::OverRate));
-                None
-            }
-        }
-    }
-
-    /// Tells the rate limit that a request no longer waits for a token.
-    fn abandon_admission(&mut self, pending: &PendingRequest) {
-        if !pending.admitted {
-            self.admission.abandon(&pending.req.workspace);
-        }
-    }
-
     /// Keeps a request that no upstream can run now, and schedules its next attempt.
     fn park(&mut self, cx: &mut Cx<'_>, mut pending: PendingRequest) {
         let id = self.requests.next_attempt_id(cx);
@@ -309,6 +271,9 @@
             pending.target = Some(target.clone());
             return self.requests.insert(*other_id, pending);
         }
+        if answer.verdict == Verdict::Ran {
+            self.refund_useful_hedge(cx, pending.hedged_at);
+        }
         if let Some((id, target)) = other {
             cx.send(target.owner, RelayMsg::Cancel { id });
         }
@@ -365,6 +330,14 @@
         }
         pending.may_have_run |= may_have_run;
         match why {
+            Bounce::Refused(Refusal::Overloaded)
+                if cx.settings.room.limit_concurrency && pending.attempts <= 1 =>
+            {
+                // The upstream refuses all requests; others may have spare capacity.
+                self.router.failures.record_behind(cx.now, &target.upstream);
+                pending.last_refusal = Refusal::Overloaded;
+                return self.send_or_park(cx, view, sessions, pending);
+            }
             Bounce::Refused(refusal) => {
                 return answer_without_result(cx, sessions, pending, Verdict::NotRun(refusal));
             }
@@ -396,7 +369,7 @@
                         .record_unavailable(cx.now, &target.upstream, owner);
                 }
                 pending.last_refusal = Refusal::NoUpstream;
-                if pending.attempts <= 1 {
+                if pending.attempts <= 1 && self.may_retry(cx) {
                     return self.send_or_park(cx, view, sessions, pending);
                 }
             }
@@ -469,6 +442,9 @@
         self.router.failures.expire(cx.now);
         while let Some((id, pending)) = self.requests.remove_due(cx.now) {
             match &pending.target {
+                None if pending.admitted && cx.now < pending.deadline && !self.may_retry(cx) => {
+                    self.park(cx, pending);
+                }
                 None => self.send_or_park(cx, view, sessions, pending),
                 Some(_) if cx.now < pending.deadline => {
                     self.send_hedge(cx, view, sessions, id, pending)
