owner: start nothing for a moment after a pause of seconds

Cause: a frozen owner finds requests in its sockets when it resumes, and could send them to a data centre that was evacuated and closed meanwhile, before its control thread has published the order.

Change: an owner whose regular query of positions is 3 s overdue sends back what waits, and all that comes within the next 300 ms. An owner that runs learns of an order within a second and has 4 s to end the work, so a shorter pause can't hide an order that is closed. It applies where owners query positions (capacity from announcements).

--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -56,6 +56,8 @@
     leaving: bool,
     /// While leaving: when the transactions that are still open are rolled back.
     leave_deadline: Option<Instant>,
+    /// Until when nothing is started, after this part did not run for a while.
+    held_until: Option<Instant>,
 }
 
 /// State that all upstreams of a traffic part use.
@@ -90,6 +92,7 @@
             shared: SharedState::default(),
             leaving: false,
             leave_deadline: None,
+            held_until: None,
         }
     }
 }
@@ -140,6 +143,7 @@
 
     /// Queues or starts a request of an entry host, or sends it back.
     pub fn on_run(&mut self, cx: &mut Cx<'_>, view: &View, from: PartAddr, run: RunRequest) {
+        self.hold_after_pause(cx);
         let job = Job {
             from,
             deadline: cx.now + run.req.timeout,
@@ -150,9 +154,13 @@
             let (id, why) = (job.run.id, Bounce::NotOwner);
             return cx.send(job.from, RelayMsg::Bounce { id, why });
         }
+        let is_held = self.held_until.is_some_and(|until| cx.now < until);
         let Some(upstream) = self.upstreams.get_mut(&job.run.upstream) else {
             return job.reject_unknown_upstream(cx);
         };
+        if is_held {
+            return job.send_back(cx);
+        }
         upstream.update_primary(view);
         upstream.primary_position = self.shared.primary_positions.get(&upstream.service);
         match job.run.pin {
@@ -187,6 +195,7 @@
 
     /// Handles an event of a pooled connection.
     pub fn on_conn_event(&mut self, cx: &mut Cx<'_>, view: &View, event: ConnEvent) {
+        self.hold_after_pause(cx);
         let (ConnEvent::Opened { conn }
         | ConnEvent::OpenFailed { conn, .. }
         | ConnEvent::Done { conn, .. }
@@ -279,6 +288,7 @@
 
     /// Expires deadlines and idle transactions, and opens or closes connections as needed.
     pub fn on_tick(&mut self, cx: &mut Cx<'_>) {
+        self.hold_after_pause(cx);
         let deadline_passed = self.leave_deadline.take_if(|by| *by <= cx.now).is_some();
         self.shared.unconfirmed.give_up_expired(cx);
         for upstream in self.upstreams.values_mut() {
--- a/crates/decide/src/owner/evacuation.rs
+++ b/crates/decide/src/owner/evacuation.rs
@@ -3,14 +3,25 @@
 //! A replica there gets no new requests at once. A primary keeps its work until it is replaced, and
 //! open transactions go on, but not beyond the moment from which nothing is to be sent there.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+use model::Refusal;
 
 use crate::evacuation::EvacLogEvent;
+use crate::owner::OwnedUpstreams;
+use crate::owner::job::Job;
 use crate::owner::replica_wait::WaitPolicy;
 use crate::owner::upstream::Upstream;
 use crate::queue::{QueueDiscipline, RequestQueue};
+use crate::relay::Bounce;
 use crate::{Cx, View};
 
+/// A part that did not run for this long may have missed an order that is in force by now: one that
+/// runs learns of it within a second, and has [`evac::WORK_LIMIT`] to end the work.
+const PAUSE_MIN: Duration = Duration::from_secs(3);
+/// How long a part starts nothing after such a pause, until its host has read what it missed.
+const HOLD: Duration = Duration::from_millis(300);
+
 /// Whether an upstream's data centre is evacuated.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum EvacuationState {
@@ -84,3 +95,32 @@
         }
     }
 }
+
+impl<Q: QueueDiscipline, W: WaitPolicy> OwnedUpstreams<Q, W> {
+    /// Sends back all that waits, and starts nothing for a moment, if this part did not run for so
+    /// long that an evacuation may have come into force meanwhile.
+    ///
+    /// The pause shows by the time for which the regular query of positions is overdue.
+    pub(crate) fn hold_after_pause(&mut self, cx: &mut Cx<'_>) {
+        let due_at = self.shared.primary_positions.wake_at();
+        if due_at.is_none_or(|at| cx.now < at + PAUSE_MIN) {
+            return;
+        }
+        self.held_until = Some(cx.now + HOLD);
+        for upstream in self.upstreams.values_mut() {
+            for job in upstream.queue.drain_where(|_| true) {
+                job.send_back(cx);
+            }
+        }
+    }
+}
+
+impl Job {
+    /// Bounces the request, or refuses it if it belongs to an open transaction.
+    pub(crate) fn send_back(self, cx: &mut Cx<'_>) {
+        match self.run.pin {
+            Some(_) => self.refuse(cx, Refusal::TransactionLost, "paused"),
+            None => self.bounce(cx, Bounce::NotOwner),
+        }
+    }
+}
--- a/crates/decide/tests/owner.rs
+++ b/crates/decide/tests/owner.rs
@@ -56,6 +56,33 @@
     assert_eq!(after, expected);
 }
 
+/// Guards against requests that wait in a frozen process's sockets and reach an instance of a data
+/// centre that was evacuated and closed meanwhile, before the process has read of the order.
+#[test]
+fn an_owner_that_did_not_run_for_seconds_starts_nothing_until_it_can_have_learned_of_an_order() {
+    let mut harness = OwnerHarness::<Drr>::new();
+    let refresh = |harness: &mut OwnerHarness<Drr>| {
+        harness.with(|owners, cx, view| owners.refresh_positions(cx, view));
+        harness.take_effects();
+    };
+    let before = "
+        set capacity=announced
+        upstream u1
+        primary u1";
+    harness.run_script(before);
+    refresh(&mut harness);
+    let awake = harness.run_script("sleep 1s\nrun 1\nrun 2\nopened c1");
+    assert!(awake.contains("run-on c1"), "{awake}");
+    refresh(&mut harness);
+    let resumed = harness.run_script("sleep 5s\nrun 3");
+    assert_eq!(resumed, "bounce h1#2 NotOwner\nbounce h1#3 NotOwner\n");
+    refresh(&mut harness);
+    let held = harness.run_script("sleep 200ms\nrun 4");
+    assert_eq!(held, "bounce h1#4 NotOwner\n");
+    let after = harness.run_script("sleep 200ms\ndone c1\nrun 5");
+    assert!(after.contains("run-on c1"), "{after}");
+}
+
 #[test]
 fn new_requests_to_a_draining_primary_end_in_time_although_its_last_announcement_was_held_up() {
     let mut harness = OwnerHarness::<Drr>::new();
--- a/crates/decide/tests/owner_harness/mod.rs
+++ b/crates/decide/tests/owner_harness/mod.rs
@@ -9,7 +9,7 @@
 use decide::conn::{ConnEvent, LossReason, RunOutcome};
 use decide::event::ProbeResult;
 use decide::group::GroupMsg;
-use decide::owner::OwnedUpstreams;
+use decide::owner::{CapacitySource, OwnedUpstreams};
 use decide::queue::QueueDiscipline;
 use decide::relay::{RelayMsg, RunRequest};
 use decide::view::{ServiceView, UpstreamView};
@@ -164,6 +164,7 @@
                 "share" => owner.transaction_share = value.parse().unwrap(),
                 "pause" => owner.idle_in_transaction = parse_duration(value),
                 "idle" => owner.idle_timeout = parse_duration(value),
+                "capacity" => owner.capacity = CapacitySource::Announced,
                 "leave" => owner.leave_timeout = parse_duration(value),
                 "replica-wait" => owner.replica_wait = parse_duration(value),
                 key => panic!("unknown setting `{key}`"),
