decide: let time pass in ticks in a test of stopped acknowledgements

It lets 21 s pass at once, without a tick, which now counts as a pause of the process, after which an owner starts nothing for 300 ms.

Change: the same 21 s pass in ticks of 1 s. The assertion stays as it was.

--- a/crates/decide/tests/stopped_acks.rs
+++ b/crates/decide/tests/stopped_acks.rs
@@ -164,7 +164,11 @@
     owner.tell("c1", allow(4));
     assert_eq!(owner.write(1, 8), Verdict::Ran);
     owner.tell("c1", stop(1, 5));
-    owner.harness.now += Duration::from_secs(21);
+    for _ in 0..21 {
+        owner.harness.now += Duration::from_secs(1);
+        owner.harness.handle(Event::Tick);
+    }
+    owner.harness.effects.clear();
     assert_eq!(owner.write(1, 9), Verdict::Ran);
 }
 
