authority, host: query also unannounced evacuated instances alone

Cause: whether a query is sent without statements of the host's own was decided in host by the upstreams of the view.

Change: Effect::QueryUpstream says it, and the authority knows the data centre of each member.

--- a/crates/decide/src/authority.rs
+++ b/crates/decide/src/authority.rs
@@ -19,7 +19,7 @@
 pub(crate) mod log_event;
 pub(crate) mod service;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
 use model::{HashMap, PartAddr, ServiceId, UpstreamId};
@@ -107,6 +107,8 @@
     pending: HashMap<QueryId, PendingQuery>,
     /// Tickets, the orders that have no number yet; the commit of a ticket gives the order one.
     tickets: Vec<PromotionTicket>,
+    /// The instances of evacuated data centres, also those that aren't announced.
+    evacuated: BTreeSet<UpstreamId>,
 }
 
 impl Outbox {
@@ -126,6 +128,7 @@
             addr,
             query: upstream_query,
             new_connection: query.new_connection,
+            alone: self.evacuated.contains(&query.upstream),
             timeout: cx.settings.group.probe_timeout,
         });
         self.pending.insert(self.last_id, query);
@@ -179,6 +182,13 @@
                 service.sync_unannounced(cx, view, &has_withdrawn);
             }
         }
+        self.outbox.evacuated.clear();
+        if !view.evacuations.closes_at.is_empty() {
+            let members = self.services.values().flat_map(|service| &service.members);
+            let evacuated = members.filter(|(_, member)| member.evacuated);
+            let evacuated = evacuated.map(|(id, _)| id.clone());
+            self.outbox.evacuated.extend(evacuated);
+        }
         self.step(cx);
     }
 
--- a/crates/decide/src/authority/service.rs
+++ b/crates/decide/src/authority/service.rs
@@ -175,7 +175,6 @@
             let new = || MonitoredInstance::new(announcement.clone(), now);
             let member = self.members.entry(id.clone()).or_insert_with(new);
             member.on_announced(announcement, now);
-            member.evacuated = view.is_evacuated(id);
         }
         self.sync_unannounced(cx, view, has_withdrawn);
         if let Some((term, id)) = &service_view.primary
@@ -193,6 +192,8 @@
         has_withdrawn: &impl Fn(&UpstreamId) -> bool,
     ) {
         for (id, member) in &mut self.members {
+            let data_centre = &member.announcement.data_centre;
+            member.evacuated = view.evacuations.closes_at.contains_key(data_centre);
             if !view.upstreams.contains_key(id) {
                 member.on_lapsed(cx.now);
             }
--- a/crates/decide/src/commit.rs
+++ b/crates/decide/src/commit.rs
@@ -188,6 +188,7 @@
                 addr: due.addr,
                 query: due.query,
                 new_connection: due.use_new_conn,
+                alone: false,
                 timeout: due.timeout,
             });
         }
--- a/crates/decide/src/effect.rs
+++ b/crates/decide/src/effect.rs
@@ -117,6 +117,9 @@
         query: UpstreamQuery,
         /// Whether to open a new connection even if one is open, which may have broken unnoticed.
         new_connection: bool,
+        /// Whether no statement of the host's own may be sent beside it, since the data centre is
+        /// evacuated.
+        alone: bool,
         /// Time after which the query fails, including that to connect.
         timeout: Duration,
     },
--- a/crates/decide/src/group/query.rs
+++ b/crates/decide/src/group/query.rs
@@ -86,6 +86,7 @@
             addr: to.addr,
             query: upstream_query,
             new_connection: options.new_connection,
+            alone: false,
             timeout: options.timeout,
         });
         self.last_id
--- a/crates/decide/src/owner/primary_position.rs
+++ b/crates/decide/src/owner/primary_position.rs
@@ -163,6 +163,7 @@
             addr: primary.announcement.addr,
             query: UpstreamQuery::Status { wait_for: None },
             new_connection: false,
+            alone: view.is_evacuated(id),
             timeout: QUERY_TIMEOUT,
         });
     }
--- a/crates/decide/tests/authority_evacuation.rs
+++ b/crates/decide/tests/authority_evacuation.rs
@@ -68,3 +68,20 @@
     world.run(10 * SECOND);
     assert!(world.orders.is_empty(), "{:?}", world.orders);
 }
+
+/// Guards against statements of the host's own, which surround queries, at an evacuated instance,
+/// also at one whose announcement has lapsed (seed 11 of `platform_soak` with evacuations, cuts,
+/// crashes, late orders and restarts of hosts).
+#[test]
+fn evacuated_instances_are_queried_alone_also_while_they_are_not_announced() {
+    let mut world = World::new();
+    world.run(4 * SECOND);
+    world.evacuated = vec!["a"];
+    for announced in [&["a", "b", "c"][..], &["b", "c"]] {
+        world.announce(announced);
+        world.not_queried_alone.clear();
+        world.run(3 * SECOND);
+        let not_alone: Vec<&str> = world.not_queried_alone.iter().map(|id| &**id).collect();
+        assert_eq!(not_alone, ["b", "c"], "announced: {announced:?}");
+    }
+}
--- a/crates/decide/tests/authority_world/mod.rs
+++ b/crates/decide/tests/authority_world/mod.rs
@@ -4,7 +4,7 @@
 #![allow(clippy::unwrap_used, reason = "a test that meets an error ends there")]
 #![allow(dead_code, reason = "not every test needs every helper")]
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -88,6 +88,8 @@
     pub(crate) last_order_number: u64,
     /// Instances whose data centre is evacuated.
     pub(crate) evacuated: Vec<&'static str>,
+    /// Instances that got a query beside which the host may send statements of its own.
+    pub(crate) not_queried_alone: BTreeSet<UpstreamId>,
     /// Instances that have withdrawn their announcements.
     pub(crate) withdrawn: Vec<&'static str>,
     /// Whether entry host `entry-1` is alive, which answers no request to stop acknowledgements.
@@ -132,6 +134,7 @@
             promotion_ends_fences: false,
             last_order_number: 100,
             evacuated: Vec::new(),
+            not_queried_alone: BTreeSet::new(),
             withdrawn: Vec::new(),
             has_silent_entry_host: false,
             last_stop_round: 0,
@@ -231,8 +234,12 @@
                     id,
                     upstream,
                     query,
+                    alone,
                     ..
                 } => {
+                    if !alone {
+                        self.not_queried_alone.insert(upstream.clone());
+                    }
                     let result = self.answer_query(&upstream, &query);
                     self.pending_replies
                         .push_back(Event::QueryAnswered { id, result });
--- a/crates/host/src/thread_control.rs
+++ b/crates/host/src/thread_control.rs
@@ -85,7 +85,7 @@
             Effect::Send { to, msg } => self.links.send(&mut self.tasks, to, msg),
             Effect::ForwardEvent { part, event } => self.inboxes.send_event(part, *event),
             Effect::PublishView(view) => {
-                self.queries.apply_view(&view);
+                self.queries.retain_known(&view);
                 for part in 1..self.inboxes.part_count() {
                     self.inboxes.send_event(part, Event::View(view.clone()));
                 }
--- a/crates/host/src/thread_traffic.rs
+++ b/crates/host/src/thread_traffic.rs
@@ -91,7 +91,7 @@
     }
 
     fn apply_view(&mut self, view: &Arc<View>) {
-        self.queries.apply_view(view);
+        self.queries.retain_known(view);
         for info in view.hosts.values() {
             self.links.set_addr(info.host.clone(), info.peer_addr);
         }
--- a/crates/host/src/upstream_query.rs
+++ b/crates/host/src/upstream_query.rs
@@ -6,7 +6,7 @@
 
 use decide::upstream_query::{QueryError, QueryId, QueryReply, UpstreamQuery};
 use decide::{Effect, Event, View};
-use model::{HashMap, HashSet, PartId, UpstreamId};
+use model::{HashMap, PartId, UpstreamId};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
@@ -96,8 +96,6 @@
     inboxes: Inboxes,
     cfg: Rc<UpstreamSettings>,
     queues: HashMap<UpstreamId, mpsc::UnboundedSender<QueryJob>>,
-    /// The upstreams of evacuated data centres.
-    evacuated: HashSet<UpstreamId>,
     adapter: PhantomData<A>,
 }
 
@@ -109,7 +107,6 @@
             inboxes,
             cfg,
             queues: HashMap::default(),
-            evacuated: HashSet::default(),
             adapter: PhantomData,
         }
     }
@@ -123,6 +120,7 @@
             addr,
             query,
             new_connection,
+            alone,
             timeout,
         } = effect
         else {
@@ -139,7 +137,7 @@
             },
             query,
             new_connection,
-            alone: self.evacuated.contains(&upstream),
+            alone,
             timeout,
         };
         let queue = self.queues.entry(upstream).or_insert_with(|| {
@@ -155,14 +153,8 @@
         let _ = queue.send(job);
     }
 
-    /// Closes the queues of upstreams that are no longer in the view, whose tasks then end, and notes
-    /// the upstreams of evacuated data centres.
-    pub(crate) fn apply_view(&mut self, view: &View) {
-        self.evacuated.clear();
-        if !view.evacuations.closes_at.is_empty() {
-            let evacuated = view.upstreams.keys().filter(|id| view.is_evacuated(id));
-            self.evacuated.extend(evacuated.cloned());
-        }
+    /// Closes the queues of upstreams that are no longer in the view; their tasks then end.
+    pub(crate) fn retain_known(&mut self, view: &View) {
         self.queues
             .retain(|upstream, _| view.upstreams.contains_key(upstream));
     }
