--- a/crates/decide/src/authority.rs
+++ b/crates/decide/src/authority.rs
@@ -21,7 +21,7 @@
 pub(crate) mod order_doubt;
 pub(crate) mod service;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -112,6 +112,8 @@
     pending: HashMap<QueryId, PendingQuery>,
     /// Tickets, the orders that have no number yet; the commit of a ticket gives the order one.
     tickets: Vec<PromotionTicket>,
+    /// The instances of evacuated data centres, also those that aren't announced.
+    evacuated: BTreeSet<UpstreamId>,
 }
 
 impl Outbox {
@@ -131,6 +133,7 @@
             addr,
             query: upstream_query,
             new_connection: query.new_connection,
+            alone: self.evacuated.contains(&query.upstream),
             timeout: cx.settings.group.probe_timeout,
         });
         self.pending.insert(self.last_id, query);
@@ -225,6 +228,13 @@
                 service.sync_unannounced(cx, view, &has_withdrawn);
             }
         }
+        self.outbox.evacuated.clear();
+        if !view.evacuations.closes_at.is_empty() {
+            let members = self.services.values().flat_map(|service| &service.members);
+            let evacuated = members.filter(|(_, member)| member.evacuated);
+            let evacuated = evacuated.map(|(id, _)| id.clone());
+            self.outbox.evacuated.extend(evacuated);
+        }
         self.step(cx);
     }
 
