--- a/crates/decide/src/owner/held_acks.rs
+++ b/crates/decide/src/owner/held_acks.rs
@@ -144,6 +144,7 @@
                 addr: seen.announcement.addr,
                 query: UpstreamQuery::Status { wait_for: None },
                 new_connection: false,
+                alone: view.is_evacuated(&upstream),
                 timeout: QUERY_TIMEOUT,
             });
             let acks = self.services.entry(service.clone()).or_default();
