owner: a read that was answered busy inside a transaction is sent again in it

Cause: any refusal inside a transaction ended it, and its connection was closed. A busy response says that the statement has not run, and with it the whole transaction was lost and a connection had to be opened again, which takes a slot of the busy instance.

Change, with room.limit_concurrency: a read that is answered busy while the transaction is open stays in the queue and is sent again on the same connection. Writes and commits are not sent again: the second refusal of a commit at the same position would leave it in doubt. What decides on an outcome moves to owner/outcome.rs.

--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -15,6 +15,7 @@
 pub(crate) mod drain;
 pub(crate) mod job;
 pub(crate) mod log_event;
+pub(crate) mod outcome;
 pub(crate) mod pin;
 pub mod primary_position;
 pub mod replica_wait;
--- a/crates/decide/src/owner/conn_events.rs
+++ b/crates/decide/src/owner/conn_events.rs
@@ -10,14 +10,15 @@
 use model::{Answer, ConnId, HostId, Refusal, Role, TxStatus, Verdict};
 
 use crate::Cx;
-use crate::conn::{LossReason, RunOutcome, UpstreamRejection};
+use crate::conn::{LossReason, RunOutcome};
 use crate::group::GroupMsg;
 use crate::owner::SharedState;
 use crate::owner::job::{Job, Pin, RunningJob};
 use crate::owner::log_event::OwnerLogEvent;
+use crate::owner::outcome::{UnusableOutcome, check_outcome, is_retryable_in_transaction};
 use crate::owner::replica_wait::WaitPolicy;
 use crate::owner::settings::CapacitySource;
-use crate::owner::upstream::{Upstream, has_reached, max_data_age};
+use crate::owner::upstream::Upstream;
 use crate::queue::{QueueDiscipline, RequestQueue};
 use crate::relay::Bounce;
 
@@ -218,8 +219,16 @@
         }
         let pin = self.pins.remove(&conn);
         let pinned = pin.is_some();
-        let verdict = check_outcome(&running, &outcome, pinned);
-        let keeps_transaction = verdict.is_ok() && !running.caller_gone;
+        let limits = cx.settings.room.limit_concurrency;
+        let verdict = match check_outcome(&running, &outcome, pinned) {
+            // The transaction is still open, and the read has not run in it.
+            Err(_) if limits && pinned && is_retryable_in_transaction(&running, &outcome) => {
+                Err(UnusableOutcome::Busy)
+            }
+            verdict => verdict,
+        };
+        let is_retried = pinned && matches!(verdict, Err(UnusableOutcome::Busy));
+        let keeps_transaction = (verdict.is_ok() || is_retried) && !running.caller_gone;
         // A `COMMIT` counts as a write even if its transaction has written nothing.
         let commits = match &pin {
             Some(pin) => pin.may_have_written && !running.job.run.req.rolls_back,
@@ -263,7 +272,7 @@
                 let why = Bounce::Refused(Refusal::Overloaded);
                 running.job.bounce(cx, why);
             }
-            Err(UnusableOutcome::Busy) if cx.settings.room.limit_concurrency => {
+            Err(UnusableOutcome::Busy) if limits => {
                 self.push_job(running.job, true);
             }
             Err(UnusableOutcome::Busy) => self.requeue(cx, running.job),
@@ -400,43 +409,3 @@
         }
     }
 }
-
-/// Why the outcome of a request must not be sent as its answer.
-enum UnusableOutcome {
-    /// The upstream is not the primary and refused the request before it ran.
-    NotPrimary,
-    /// The upstream refused a statement of an open transaction, which is over.
-    TransactionLost,
-    /// The upstream refused the request because it is overloaded.
-    Busy,
-    /// A read ran, or would have run, on data that is behind its floor or too old.
-    Behind,
-}
-
-/// Returns whether an outcome may be sent to the caller.
-fn check_outcome(
-    running: &RunningJob,
-    outcome: &RunOutcome,
-    pinned: bool,
-) -> Result<(), UnusableOutcome> {
-    match outcome.rejected {
-        Some(_) if pinned => return Err(UnusableOutcome::TransactionLost),
-        Some(UpstreamRejection::NotPrimary) => return Err(UnusableOutcome::NotPrimary),
-        Some(UpstreamRejection::Behind) => return Err(UnusableOutcome::Behind),
-        Some(UpstreamRejection::Busy) => return Err(UnusableOutcome::Busy),
-        None => {}
-    }
-    if !running.check_status_before {
-        return Ok(());
-    }
-    let req = &running.job.run.req;
-    let before = outcome
-        .status_before
-        .as_ref()
-        .ok_or(UnusableOutcome::Behind)?;
-    let reached = has_reached(before, req.floor.unwrap_or_default());
-    let young_enough = req.max_age.is_none_or(|max| max_data_age(before) <= max);
-    (reached && young_enough)
-        .then_some(())
-        .ok_or(UnusableOutcome::Behind)
-}
--- a/crates/decide/tests/owner_chaos/mod.rs
+++ b/crates/decide/tests/owner_chaos/mod.rs
@@ -280,8 +280,12 @@
         let busy = self.harness.settings.room.limit_concurrency;
         let refused = self.rng.random_bool(if busy { 0.3 } else { 0.05 });
         let stays_open = sent.run.req.in_transaction && self.rng.random_bool(0.7);
+        let is_busy = refused && busy && self.rng.random_bool(0.7);
         let tx = match (refused, stays_open) {
-            (true, _) if state.transaction.is_some() => TxStatus::Failed,
+            (true, _) if state.transaction.is_some() => match is_busy && stays_open {
+                true => TxStatus::Open,
+                false => TxStatus::Failed,
+            },
             (false, true) => TxStatus::Open,
             _ => TxStatus::Idle,
         };
@@ -301,7 +305,10 @@
             outcome: RunOutcome {
                 payload: Bytes::new(),
                 tx,
-                rejected: refused.then(|| self.rejection()),
+                rejected: refused.then_some(match is_busy {
+                    true => UpstreamRejection::Busy,
+                    false => UpstreamRejection::NotPrimary,
+                }),
                 position: None,
                 status_before: Some(status.clone()),
                 status_after: Some(status),
@@ -309,15 +316,6 @@
         }
     }
 
-    /// Returns why the upstream refuses a request.
-    fn rejection(&mut self) -> UpstreamRejection {
-        let busy = self.harness.settings.room.limit_concurrency && self.rng.random_bool(0.7);
-        match busy {
-            true => UpstreamRejection::Busy,
-            false => UpstreamRejection::NotPrimary,
-        }
-    }
-
     /// Returns a random status of the upstream.
     fn status(&mut self) -> InstanceStatus {
         let primary = self.rng.random_bool(0.9);
