--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -19,6 +19,7 @@
 pub(crate) mod held_acks;
 pub(crate) mod job;
 pub(crate) mod log_event;
+pub(crate) mod outcome;
 pub(crate) mod pin;
 pub mod primary_position;
 pub mod replica_wait;
