owner: limit requests to cold instances by the service's warm-up rate

Cause: after a restoration, or its own start, an instance is cold, and no more than warmup-per-s x 1.5 + 5 requests may reach it in a second, over all hosts.

Change: while an instance announces that it is cold, each of its owners spends tokens of its share of warmup-per-s; a request without a token is bounced at once. warmup-per-s is a new field of Service, encoded so that a service without it reads and writes as before. A service without it has no ramp.

Not measured: the effect on service under load, and what the ramp doesn't count (session state and markers around a request).

--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -22,6 +22,7 @@
 pub(crate) mod settings;
 pub(crate) mod unconfirmed;
 pub(crate) mod upstream;
+pub(crate) mod warm_up;
 
 use std::time::Instant;
 
@@ -119,6 +120,7 @@
             upstream.owned = seen.is_some_and(|seen| seen.owners.contains(&cx.me.host));
             upstream.update_drain(cx, seen);
             upstream.update_evacuation(view);
+            upstream.update_ramp(cx, view, seen);
             upstream.update_primary(view);
             if let Some(seen) = seen
                 && cx.settings.owner.capacity == CapacitySource::Announced
--- a/crates/decide/src/owner/dispatch.rs
+++ b/crates/decide/src/owner/dispatch.rs
@@ -36,7 +36,7 @@
         if let Err(bounce) = self.start_condition(cx, &job.run.req) {
             return job.bounce(cx, bounce);
         }
-        if !self.breaker.allow(cx.now, &cx.settings.owner.breaker) {
+        if self.lacks_token(cx) || !self.breaker.allow(cx.now, &cx.settings.owner.breaker) {
             return job.bounce(cx, Bounce::Unavailable);
         }
         self.enqueue(cx, job);
@@ -173,6 +173,7 @@
         }
         let fit = match job.run.pin {
             Some(_) => Ok(None),
+            None if self.lacks_token(cx) => Err(Bounce::Unavailable),
             None => self.start_condition(cx, &job.run.req),
         };
         let (wait_for, known) = match (fit, &self.progress) {
@@ -217,5 +218,8 @@
             job,
         };
         self.running.insert(conn, running);
+        if let Some(ramp) = &mut self.ramp {
+            ramp.spend(cx.now);
+        }
     }
 }
--- a/crates/decide/src/owner/upstream.rs
+++ b/crates/decide/src/owner/upstream.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use evac::Ramp;
 use model::{
     Claim, ConnId, HashMap, InstanceStatus, Kind, Position, Request, Role, ServiceId, Term,
     UpstreamId,
@@ -47,6 +48,8 @@
     pub(crate) drain: DrainState,
     /// Whether its data centre is evacuated.
     pub(crate) evacuation: EvacuationState,
+    /// This owner's share of the requests that the instance gets while it is cold.
+    pub(crate) ramp: Option<Ramp>,
     /// Whether this host is shutting down and accepts no new work.
     pub(crate) leaving: bool,
     /// Whether open transactions are rolled back as soon as no statement of them runs; set at the
@@ -94,6 +97,7 @@
             owned: true,
             drain: DrainState::default(),
             evacuation: EvacuationState::default(),
+            ramp: None,
             leaving: false,
             end_transactions: false,
             unreachable: false,
--- a/crates/decide/tests/owner_harness/mod.rs
+++ b/crates/decide/tests/owner_harness/mod.rs
@@ -15,7 +15,8 @@
 use decide::view::{ServiceView, UpstreamView};
 use decide::{Cx, Effect, Event, Msg, Settings, View};
 use evac::InForce;
-use model::{Announcement, Claim, HostInfo, Kind, Request, TxStatus};
+use model::config::Service;
+use model::{Announcement, Claim, Config, HostInfo, Kind, Request, TxStatus};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -164,6 +165,15 @@
                 "share" => owner.transaction_share = value.parse().unwrap(),
                 "pause" => owner.idle_in_transaction = parse_duration(value),
                 "idle" => owner.idle_timeout = parse_duration(value),
+                "warmup" => {
+                    let mut config = Config::default();
+                    let service = Service {
+                        warmup_per_s: value.parse().unwrap(),
+                        ..Service::default()
+                    };
+                    config.services.insert("s".into(), service);
+                    self.view.config = config.into();
+                }
                 "capacity" => owner.capacity = CapacitySource::Announced,
                 "leave" => owner.leave_timeout = parse_duration(value),
                 "replica-wait" => owner.replica_wait = parse_duration(value),
@@ -186,7 +196,7 @@
             sequence: 1,
             incarnation: 0,
             role: None,
-            warming: false,
+            warming: line.has_flag("warming"),
             draining: line.has_flag("draining"),
             leaving: false,
         };
--- a/crates/decide/tests/replicated_state.rs
+++ b/crates/decide/tests/replicated_state.rs
@@ -7,7 +7,7 @@
 use decide::call::{Patch, PatchOutcome};
 use decide::replicated_state::{MAX_RECORDED_PATCHES, ReplicatedState};
 use evac::{Order, OrderId, OrderOutcome, RecordedOrder};
-use model::config::{BadChange, Change, CommitRule, Replacement};
+use model::config::{BadChange, Change, CommitRule, Replacement, Service};
 use model::{Config, ConfigVersion, HostId};
 use serde::Serialize;
 
@@ -184,3 +184,26 @@
     assert_eq!(read.evacuations().version, 1);
     assert!(read.evacuations().data_centres.contains("east"));
 }
+
+/// Guards against a store or a message of an earlier version that this one can't read, and against
+/// a service without a warm-up limit that an earlier version can't read.
+#[test]
+fn a_service_without_a_warm_up_limit_is_encoded_as_by_earlier_versions() {
+    for commit in [
+        CommitRule::Replicated,
+        CommitRule::Primary,
+        CommitRule::Upstream,
+    ] {
+        let mut service = Service {
+            commit,
+            connections: 70,
+            warmup_per_s: 0,
+        };
+        let bytes = postcard::to_stdvec(&(commit, 70_u32)).unwrap();
+        assert_eq!(postcard::to_stdvec(&service).unwrap(), bytes);
+        assert_eq!(postcard::from_bytes::<Service>(&bytes), Ok(service.clone()));
+        service.warmup_per_s = 13;
+        let bytes = postcard::to_stdvec(&service).unwrap();
+        assert_eq!(postcard::from_bytes::<Service>(&bytes), Ok(service));
+    }
+}
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -84,14 +84,73 @@
 
 /// Settings of a service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "EncodedService", into = "EncodedService")]
 pub struct Service {
     /// When a write is acknowledged to its caller.
-    #[serde(default)]
     pub commit: CommitRule,
     /// Number of connections that each instance accepts from all hosts together, used where
     /// instances don't announce it; 0 if unknown.
-    #[serde(default)]
     pub connections: u32,
+    /// Requests a second that an instance gets from all hosts together while it is cold; 0 for no
+    /// such limit.
+    pub warmup_per_s: u32,
+}
+
+/// The encoding of a service between hosts, on disk and in the API.
+///
+/// Without a warm-up limit it is that of earlier versions, which had the first two fields.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct EncodedService {
+    #[serde(default)]
+    commit: EncodedCommitRule,
+    #[serde(default)]
+    connections: u32,
+}
+
+/// A commit rule, alone or with the warm-up limit; the first three variants are those of
+/// [`CommitRule`].
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum EncodedCommitRule {
+    #[default]
+    Replicated,
+    Primary,
+    Upstream,
+    WithWarmup {
+        commit: CommitRule,
+        per_s: u32,
+    },
+}
+
+impl From<Service> for EncodedService {
+    fn from(service: Service) -> Self {
+        let commit = match (service.warmup_per_s, service.commit) {
+            (0, CommitRule::Replicated) => EncodedCommitRule::Replicated,
+            (0, CommitRule::Primary) => EncodedCommitRule::Primary,
+            (0, CommitRule::Upstream) => EncodedCommitRule::Upstream,
+            (per_s, commit) => EncodedCommitRule::WithWarmup { commit, per_s },
+        };
+        Self {
+            commit,
+            connections: service.connections,
+        }
+    }
+}
+
+impl From<EncodedService> for Service {
+    fn from(encoded: EncodedService) -> Self {
+        let (commit, warmup_per_s) = match encoded.commit {
+            EncodedCommitRule::Replicated => (CommitRule::Replicated, 0),
+            EncodedCommitRule::Primary => (CommitRule::Primary, 0),
+            EncodedCommitRule::Upstream => (CommitRule::Upstream, 0),
+            EncodedCommitRule::WithWarmup { commit, per_s } => (commit, per_s),
+        };
+        Self {
+            commit,
+            connections: encoded.connections,
+            warmup_per_s,
+        }
+    }
 }
 
 /// When a write is acknowledged to its caller.
