deploy, docs: turn leases for acknowledgements on

A host hands leases on whatever its own setting is, so that control hosts can be set first; docs/OPERATIONS.md says how.

--- a/crates/decide/src/group/settings.rs
+++ b/crates/decide/src/group/settings.rs
@@ -74,8 +74,10 @@
     /// Pause before a replica that failed to answer is asked again whether it has a write.
     #[serde(with = "humantime_serde")]
     pub commit_retry: Duration,
-    /// How long hosts pass on acknowledgements of commits without word from the consensus leader,
-    /// if `authority` is `quorum`; `None` if they need none.
+    /// How long a host acknowledges commits without word from the consensus leader.
+    ///
+    /// `None` if it needs none. Used if `authority` is `quorum`; hosts of earlier versions must be
+    /// upgraded first.
     #[serde(with = "humantime_serde")]
     pub ack_lease: Option<Duration>,
     /// Maximum age of an instance's status that is used to decide whether a write may be sent.
--- a/crates/decide/src/spread/ack_lease_push.rs
+++ b/crates/decide/src/spread/ack_lease_push.rs
@@ -62,11 +62,11 @@
         }
     }
 
-    /// Returns the lease to put into the answer to a heartbeat of a child, if the setting
-    /// `group.ack_lease` calls for it.
-    pub(crate) fn lease_for_child(&self, cx: &Cx<'_>, link: &Link) -> Option<Box<AckLeaseMsg>> {
-        let hands_on = link.is_child && cx.settings.group.ack_lease.is_some();
-        let lease = self.ack_lease.msg(cx.now).filter(|_| hands_on);
+    /// Returns the lease to put into the answer to a heartbeat of a child, if there is one.
+    ///
+    /// A host hands leases on whatever its own setting is, so that control hosts can be set first.
+    pub(crate) fn lease_for_child(&self, now: Instant, link: &Link) -> Option<Box<AckLeaseMsg>> {
+        let lease = self.ack_lease.msg(now).filter(|_| link.is_child);
         lease.map(Box::new)
     }
 }
--- a/crates/decide/src/spread/heartbeat.rs
+++ b/crates/decide/src/spread/heartbeat.rs
@@ -214,7 +214,7 @@
             config: self.config.status(cx.now),
         };
         let link = self.links.get(host).filter(|_| is_answer);
-        let lease = link.and_then(|link| self.lease_for_child(cx, link));
+        let lease = link.and_then(|link| self.lease_for_child(cx.now, link));
         let heartbeat = Box::new(heartbeat);
         let msg = match lease {
             Some(lease) => SpreadMsg::LeasedHeartbeat(heartbeat, lease),
--- a/crates/decide/src/spread/msg.rs
+++ b/crates/decide/src/spread/msg.rs
@@ -49,7 +49,8 @@
     Unlink,
     /// The answer to a child's heartbeat, with the lease by which acknowledgements are passed on.
     ///
-    /// It is sent only with the setting `group.ack_lease`, since earlier versions don't know it.
+    /// There is a lease only if the control hosts have the setting `group.ack_lease`: earlier versions
+    /// don't know this message.
     LeasedHeartbeat(Box<Heartbeat>, Box<AckLeaseMsg>),
 }
 
--- a/crates/host/tests/settings_doc.rs
+++ b/crates/host/tests/settings_doc.rs
@@ -97,6 +97,7 @@
     cfg.grant.window = Some(std::time::Duration::from_secs(5));
     cfg.session.hedge_after = Some(std::time::Duration::from_millis(150));
     cfg.session.check_owner_after = Some(std::time::Duration::from_millis(100));
+    cfg.group.ack_lease = Some(std::time::Duration::from_secs(2));
     cfg.spread.revoke_within = Some(std::time::Duration::from_secs(5));
     cfg
 }
