authority: don't wait for ended replicas where the hosts have told all

Cause: a leaving replica that was ordered to lead and then ended stayed in the account of ended replicas that may have confirmed commits alone. Without a primary nothing shows that another instance has those commits, so no successor was chosen for 20 s, and each attempt ended as "not-fenced" (the failure of `chosen`). The order for it stayed in doubt, too.

Change: under leases, once each host has answered the stop and none has gone or restarted within the time in which one that is cut off may serve, the highest position that they have passed on covers all acknowledged commits, so ended replicas don't matter. Orders for an instance that has ended are void, and its promotion isn't awaited. Orders that were accepted and may take effect late cause no further attempt while a primary leads, since no order voids them: such attempts demoted it again and again.

Measured: a_replica_that_ends_after_the_order_for_it_is_not_waited_for_... fails without the change (no order within 5 s) and passes with it; authority_search, authority, authority_confirmers, late_stop_answers pass.

--- a/crates/decide/src/authority/ack_parts.rs
+++ b/crates/decide/src/authority/ack_parts.rs
@@ -25,6 +25,8 @@
     hosts: BTreeMap<HostId, HostParts>,
     /// Until when a host that has gone without notice may hold a lease to pass on acknowledgements.
     gone_hosts_until: Option<Instant>,
+    /// When a host last went or restarted, so that it doesn't tell any more what it has passed on.
+    last_gone_at: Option<Instant>,
     /// Revision of the hosts in the view that the table was compared with last, if it has one.
     revision: Option<u64>,
 }
@@ -64,6 +66,9 @@
             }
             lasts
         });
+        if !change.gone.is_empty() {
+            self.last_gone_at = Some(now);
+        }
         if let Some(time) = lease_time.filter(|_| any_gone_without_notice) {
             self.gone_hosts_until = Some(now + time);
         }
@@ -83,6 +88,11 @@
         self.gone_hosts_until
     }
 
+    /// Returns when a host last went or restarted.
+    pub(crate) fn last_gone_at(&self) -> Option<Instant> {
+        self.last_gone_at
+    }
+
     /// Returns all parts with the incarnations of their hosts.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (PartAddr, Incarnation)> {
         self.hosts.keys().flat_map(|host| self.of_host(host))
--- a/crates/decide/src/authority/ack_stop.rs
+++ b/crates/decide/src/authority/ack_stop.rs
@@ -12,20 +12,18 @@
 
 use crate::Cx;
 use crate::ack_lease::{StopNumber, StopNumbers};
+use crate::authority::AuthorityLogEvent;
 use crate::authority::ack_parts::{self, PartsChange, TrafficParts};
 use crate::authority::failure_detection::FENCE_TIMEOUT;
 use crate::authority::service::{FailoverStage, MonitoredService};
-use crate::authority::{AuthorityLogEvent, Outbox};
 use crate::owner::ack_gate::{AckStopMsg, STOP_TIME};
 
 /// How long an attempt waits for parts that don't answer.
 const ANSWER_WAIT: Duration = Duration::from_millis(400);
-/// Pause before the next attempt after one whose best instance lacked writes.
-const MISSING_WRITES_PAUSE: Duration = Duration::from_secs(1);
 /// How long writes that were passed on are waited for.
 ///
 /// The position in an answer is that of the log, which may be ahead of what any replica received.
-const MISSING_WRITES_WAIT: Duration = Duration::from_secs(20);
+pub(crate) const MISSING_WRITES_WAIT: Duration = Duration::from_secs(20);
 /// Interval at which a request without an answer is sent again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which a stop that is in force is renewed.
@@ -76,6 +74,8 @@
     leases_end_at: Option<Instant>,
     /// Until when hosts that have gone without notice may hold a lease.
     gone_hosts_until: Option<Instant>,
+    /// When a host last went or restarted, whose answer doesn't tell what it had passed on before.
+    last_host_gone_at: Option<Instant>,
     /// The terms before the primary's are listed as stopped until this time, after a stop: nothing
     /// of them is to be acknowledged any more.
     earlier_terms_stopped_until: Option<Instant>,
@@ -84,9 +84,9 @@
     /// Whether the outcome of the last request to stop was logged.
     is_logged: bool,
     /// The highest log position that parts have reported to have passed on.
-    passed_on: Position,
+    pub(crate) passed_on: Position,
     /// Since when the best instance has lacked writes that were passed on.
-    missing_since: Option<Instant>,
+    pub(crate) missing_since: Option<Instant>,
 }
 
 impl AckStops {
@@ -102,6 +102,7 @@
             return;
         }
         self.gone_hosts_until = table.gone_hosts_until();
+        self.last_host_gone_at = table.last_gone_at();
         for (host, traffic_parts) in &change.gone {
             for part in ack_parts::part_addrs(host, *traffic_parts) {
                 self.parts.remove(&part);
@@ -156,6 +157,7 @@
         self.phase = AckPhase::Stopping { term };
         self.leases_end_at = lease_time.map(|time| now + time + REPLICATION_WAIT);
         self.gone_hosts_until = table.gone_hosts_until();
+        self.last_host_gone_at = table.last_gone_at();
         self.is_logged = false;
     }
 
@@ -203,6 +205,17 @@
         self.unanswered.is_empty() && self.gone_hosts_until.is_none_or(|until| until <= now)
     }
 
+    /// Returns whether the answers tell all that was passed on: each host has answered, and none has
+    /// gone or restarted within `gone_time`, in which one that is cut off may have served.
+    ///
+    /// An instance that has all of it lacks no acknowledged commit, whichever instances confirmed it.
+    pub(crate) fn knows_all_passed_on(&self, now: Instant, gone_time: Duration) -> bool {
+        let is_gone_long = |at: Instant| now >= at + gone_time;
+        self.leases_end_at.is_some()
+            && self.all_known_hosts_have_answered(now)
+            && self.last_host_gone_at.is_none_or(is_gone_long)
+    }
+
     /// Returns when a stop that hosts have not answered is settled at the latest.
     fn settles_at(&self) -> Option<Instant> {
         let until = self.gone_hosts_until.filter(|_| self.unanswered.is_empty());
@@ -364,42 +377,6 @@
         self.ack_stops.stopped_term().max(earlier)
     }
 
-    /// Ends the attempt if the best instance lacks writes that were passed on, and returns whether
-    /// it does.
-    ///
-    /// An instance that isn't announced yet may have them, or the primary may return with its log.
-    pub(crate) fn holds_back(
-        &mut self,
-        cx: &mut Cx<'_>,
-        outbox: &mut Outbox,
-        position: Position,
-    ) -> bool {
-        let (service, passed_on) = (self.name.clone(), self.ack_stops.passed_on);
-        if position >= passed_on {
-            self.ack_stops.missing_since = None;
-            return false;
-        }
-        let since = *self.ack_stops.missing_since.get_or_insert(cx.now);
-        if cx.now >= since + MISSING_WRITES_WAIT {
-            cx.log(AuthorityLogEvent::WritesGivenUp {
-                service,
-                position,
-                passed_on,
-            });
-            return false;
-        }
-        cx.log(AuthorityLogEvent::WritesMissing {
-            service,
-            position,
-            passed_on,
-        });
-        self.end_attempt_without_order(cx, outbox, "writes-missing");
-        self.stage = FailoverStage::Idle {
-            next_attempt_at: cx.now + MISSING_WRITES_PAUSE,
-        };
-        true
-    }
-
     /// Returns whether the replicas may be fenced: under leases, once no host passes on
     /// acknowledgements, so that the replicas receive all that was acknowledged before.
     ///
--- a/crates/decide/src/authority/confirmers.rs
+++ b/crates/decide/src/authority/confirmers.rs
@@ -3,16 +3,20 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use model::{Role, Term, UpstreamId};
+use model::{Position, Role, Term, UpstreamId};
 
 use crate::Cx;
-use crate::authority::AuthorityLogEvent;
+use crate::authority::ack_stop::MISSING_WRITES_WAIT;
 use crate::authority::instance::MonitoredInstance;
 use crate::authority::service::{FailoverStage, MonitoredService};
+use crate::authority::{AuthorityLogEvent, Outbox};
 
 /// How long a failover waits for the return of an ended replica that may have writes which no
 /// other instance has.
-const ENDED_REPLICA_WAIT: Duration = Duration::from_secs(20);
+pub(crate) const ENDED_REPLICA_WAIT: Duration = Duration::from_secs(20);
+
+/// Pause before the next attempt after one whose best instance lacked writes.
+const MISSING_WRITES_PAUSE: Duration = Duration::from_secs(1);
 
 impl MonitoredService {
     /// Removes the instances whose processes have ended.
@@ -32,6 +36,7 @@
         for (id, evidence) in ended {
             let primary = self.primary.as_ref().map(|(_, primary)| primary);
             let was_primary = primary == Some(&id);
+            self.doubt.on_ended(&id);
             if let Some(member) = self.members.remove(&id)
                 && !was_primary
             {
@@ -119,4 +124,40 @@
         });
         terms.max().unwrap_or(0).max(self.primary_term())
     }
+
+    /// Ends the attempt if the best instance lacks writes that were passed on, and returns whether
+    /// it does.
+    ///
+    /// An instance that isn't announced yet may have them, or the primary may return with its log.
+    pub(crate) fn holds_back(
+        &mut self,
+        cx: &mut Cx<'_>,
+        outbox: &mut Outbox,
+        position: Position,
+    ) -> bool {
+        let (service, passed_on) = (self.name.clone(), self.ack_stops.passed_on);
+        if position >= passed_on {
+            self.ack_stops.missing_since = None;
+            return false;
+        }
+        let since = *self.ack_stops.missing_since.get_or_insert(cx.now);
+        if cx.now >= since + MISSING_WRITES_WAIT {
+            cx.log(AuthorityLogEvent::WritesGivenUp {
+                service,
+                position,
+                passed_on,
+            });
+            return false;
+        }
+        cx.log(AuthorityLogEvent::WritesMissing {
+            service,
+            position,
+            passed_on,
+        });
+        self.end_attempt_without_order(cx, outbox, "writes-missing");
+        self.stage = FailoverStage::Idle {
+            next_attempt_at: cx.now + MISSING_WRITES_PAUSE,
+        };
+        true
+    }
 }
--- a/crates/decide/src/authority/failover.rs
+++ b/crates/decide/src/authority/failover.rs
@@ -11,6 +11,7 @@
 
 use model::{Position, UpstreamId};
 
+use crate::authority::confirmers::ENDED_REPLICA_WAIT;
 use crate::authority::instance::MonitoredInstance;
 use crate::authority::order_doubt::LATE_ORDER_TIME;
 use crate::authority::service::{
@@ -115,7 +116,8 @@
     /// Chooses the fenced replica with the highest position and requests its promotion.
     ///
     /// Does nothing while an ended replica, or one whose fence may end, may have writes that the best
-    /// fenced one lacks.
+    /// fenced one lacks. Ended replicas don't matter where the hosts have told all that they have
+    /// acknowledged.
     pub(crate) fn choose_successor(&mut self, cx: &mut Cx<'_>, outbox: &mut Outbox) {
         self.log_account(cx);
         let FailoverStage::Fencing {
@@ -150,8 +152,11 @@
         // An instance whose fence may end has whatever it goes on to confirm, so it is safe only to
         // promote that one.
         let best = best.filter(|(id, _)| uncertain.iter().all(|other| other == id));
+        let gone_time = cx.settings.spread.grace().max(ENDED_REPLICA_WAIT);
+        let knows_all_passed_on = self.ack_stops.knows_all_passed_on(cx.now, gone_time);
         let has_every_write = |position: Position| {
             primary_is_fenced
+                || knows_all_passed_on
                 || self.ended_replicas.values().all(|ended| {
                     let primary_position = ended.primary_position_after;
                     primary_position.is_some_and(|primary_position| position >= primary_position)
--- a/crates/decide/src/authority/failure_detection.rs
+++ b/crates/decide/src/authority/failure_detection.rs
@@ -83,7 +83,7 @@
             self.doubt.on_leads(primary, false);
         }
         // Once the platform has accepted a newer order, it can't carry out the one in doubt.
-        if self.doubt.is_open() {
+        if self.doubt.can_be_voided() {
             return Some("in-doubt");
         }
         // An earlier leader has fenced replicas, and its order may still be carried out.
--- a/crates/decide/src/authority/order_doubt.rs
+++ b/crates/decide/src/authority/order_doubt.rs
@@ -39,6 +39,11 @@
         self.unaccepted.is_some() || self.accepted.is_some()
     }
 
+    /// Returns whether a new order would make some of them void.
+    pub(crate) fn can_be_voided(&self) -> bool {
+        self.unaccepted.is_some()
+    }
+
     /// Returns the instance that all these orders promote, if it is known and the same.
     pub(crate) fn instance(&self) -> Option<&UpstreamId> {
         let mut orders = self.unaccepted.iter().chain(&self.accepted);
@@ -73,6 +78,13 @@
         self.accepted.take_if(|orders| is_same(orders));
     }
 
+    /// Removes the orders for an instance that has ended, which can't be promoted any more.
+    pub(crate) fn on_ended(&mut self, instance: &UpstreamId) {
+        let is_same = |orders: &mut OpenOrders| orders.instance.as_ref() == Some(instance);
+        self.unaccepted.take_if(is_same);
+        self.accepted.take_if(is_same);
+    }
+
     /// Removes the orders that can't be carried out any more; returns whether those that were not
     /// accepted have just gone.
     pub(crate) fn expire(&mut self, now: Instant) -> bool {
--- a/crates/decide/src/authority/service.rs
+++ b/crates/decide/src/authority/service.rs
@@ -364,10 +364,12 @@
             }
             FailoverStage::ConfirmingPrimary {
                 deadline, upstream, ..
-            } if cx.now >= *deadline => {
+            } if cx.now >= *deadline || !self.members.contains_key(upstream) => {
                 let upstream = upstream.clone();
-                let until = cx.now + LATE_ORDER_TIME;
-                self.doubt.add_accepted(&upstream, until);
+                if self.members.contains_key(&upstream) {
+                    let until = cx.now + LATE_ORDER_TIME;
+                    self.doubt.add_accepted(&upstream, until);
+                }
                 self.end_attempt(cx, "does-not-lead")
             }
             FailoverStage::AwaitingNumber { .. }
--- a/crates/decide/tests/authority_orders.rs
+++ b/crates/decide/tests/authority_orders.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use authority_world::World;
+use authority_world::{Instance, World};
 use decide::raft::PromotionTicket;
 
 /// How late an order may be carried out, as the platform states it.
@@ -89,6 +89,35 @@
     assert!(world.orders.is_empty(), "{:?}", world.orders);
 }
 
+/// Guards against a service without a primary after a leaving replica was ordered to lead and has
+/// ended: nothing was promoted for 20 s, since that replica might have confirmed commits alone, and
+/// the order counted as one that may take effect.
+#[test]
+fn a_replica_that_ends_after_the_order_for_it_is_not_waited_for_if_the_hosts_have_answered() {
+    let mut world = World::new();
+    world.settings.group.ack_lease = Some(Duration::from_secs(2));
+    world.settings.spread.revoke_within = Some(Duration::from_secs(5));
+    world.run(Duration::from_secs(4));
+    world.carries_out_accepted = false;
+    world.instances.get_mut("a").unwrap().cut_off();
+    while world.orders.is_empty() {
+        world.run(Duration::from_millis(100));
+    }
+    let ended = world.orders[0].upstream.clone();
+    let (ended, other) = if *ended == *"b" {
+        ("b", "c")
+    } else {
+        ("c", "b")
+    };
+    world.carries_out_accepted = true;
+    world.change(&ended.into(), Instance::cut_off);
+    world.withdrawn.push(ended);
+    world.announce(&["a", other]);
+    world.run(Duration::from_secs(5));
+    assert_eq!(world.primary, Some((2, other.into())));
+    assert!(!acks_are_stopped(&mut world));
+}
+
 /// Guards against commits that the promoted instance lacks: an accepted order that took effect more
 /// than 2.5 s after its answer counted as settled, and replicas were unfenced.
 #[test]
