--- a/crates/decide/src/spread/heartbeat.rs
+++ b/crates/decide/src/spread/heartbeat.rs
@@ -215,7 +215,7 @@
             config: self.config.status(cx.now),
         };
         let link = self.links.get(host).filter(|_| is_answer);
-        let lease = link.and_then(|link| self.lease_for_child(cx, link));
+        let lease = link.and_then(|link| self.lease_for_child(cx.now, link));
         let msg = self.heartbeat_msg(heartbeat, lease);
         cx.send_control(host, msg);
     }
--- a/crates/decide/tests/overload_world/fleet.rs
+++ b/crates/decide/tests/overload_world/fleet.rs
@@ -51,6 +51,7 @@
     let service = Service {
         commit: CommitRule::Upstream,
         connections: 0,
+        ..Service::default()
     };
     let config = Config {
         version: 1,
