carawayd tests: crowds of misbehaving clients

Clients of legal message sizes take a process over the 112 MiB of the smallest hosts, and clients that send nothing take its descriptors. The new tests start real processes, bring a small crowd, and check that the process lives, that its peak resident set and its open descriptors stay under a bound, and that an ordinary caller is served. The test bed starts hosts and instances without faults for the platform's front end.

--- a/crates/carawayd/tests/fleet/mod.rs
+++ b/crates/carawayd/tests/fleet/mod.rs
@@ -3,9 +3,11 @@
 #![allow(clippy::unwrap_used, reason = "a test that meets an error ends there")]
 
 pub(crate) mod client;
+pub(crate) mod crowd;
 pub(crate) mod ledger;
 pub(crate) mod process;
 pub(crate) mod relay;
+pub(crate) mod usage;
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -60,6 +62,7 @@
     pub(crate) process: Process,
     pub(crate) callers: SocketAddr,
     pub(crate) api: SocketAddr,
+    pub(crate) peers: SocketAddr,
     /// Whether it has the entry role, which serves callers.
     pub(crate) is_entry: bool,
     pub(crate) metrics: SocketAddr,
@@ -206,6 +209,7 @@
         name: name.to_owned(),
         callers: process.addr("callers"),
         api: process.addr("api"),
+        peers: process.addr("peers"),
         metrics: process.addr("metrics"),
         process,
         is_entry,
--- a/crates/carawayd/tests/fleet/process.rs
+++ b/crates/carawayd/tests/fleet/process.rs
@@ -54,6 +54,11 @@
         values.next().unwrap().parse().unwrap()
     }
 
+    /// Returns the id of the process.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process with SIGKILL.
     pub(crate) fn kill(&mut self) {
         let _ = self.child.kill();
