--- a/crates/carawayd/tests/misbehaving.rs
+++ b/crates/carawayd/tests/misbehaving.rs
@@ -20,7 +20,7 @@
 /// Lets one test run at a time: each of them needs some hundred megabytes without the limits.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 /// Settings of the host under test.
-const LIMITS: &str = "";
+const LIMITS: &str = "[budget]\nmemory_mb = 112\nmax_calls = 64\n[caller]\nmax_logins = 64\n";
 /// Descriptors that the process may have open: its own, and less than one listener's crowd.
 const MAX_OPEN_FILES: usize = 400;
 
--- a/crates/host/src/adapter.rs
+++ b/crates/host/src/adapter.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use budget::Charge;
 use bytes::Bytes;
 use decide::Event;
 use decide::authority::{PromotionError, PromotionOrder};
@@ -20,14 +21,18 @@
 use decide::upstream_query::{QueryError, QueryReply, UpstreamQuery};
 use model::{
     Answer, CONTROL_PART, PartId, Position, Refusal, Request, RequestId, ServiceId, SessionId,
-    UpstreamId, WorkspaceId,
+    UpstreamId, Verdict, WorkspaceId,
 };
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::conn_budget::{Budget, CloseReason, ConnBudget};
 use crate::inbox::{Inboxes, Input};
+use crate::logs;
 use crate::settings::{CallerSettings, OrderSettings, UpstreamSettings};
 
+/// How long a caller's request, or what a session keeps, may wait for memory.
+const MEMORY_WAIT: Duration = Duration::from_millis(500);
 /// How long the control part may take to reply to a call.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -54,6 +59,7 @@
     fn serve_platform_calls(
         listener: TcpListener,
         calls: CallSender,
+        budget: Budget,
         stop: watch::Receiver<bool>,
     ) -> impl Future<Output = ()> + Send;
 
@@ -70,7 +76,7 @@
 
 /// An open connection to an upstream, which runs one request or query at a time.
 pub trait UpstreamConn {
-    /// Runs a request and returns its answer, of at most `limit` bytes.
+    /// Runs a request and returns its answer, whose bytes are counted by `meter`.
     ///
     /// `sent` is set before the first byte is sent that could make the request run: while it is
     /// false, the request has certainly not run.
@@ -82,7 +88,7 @@
     fn run(
         &mut self,
         job: &RunJob,
-        limit: usize,
+        meter: &mut AnswerMeter,
         sent: &mut bool,
     ) -> impl Future<Output = Result<RunOutcome, LossReason>>;
 
@@ -101,6 +107,54 @@
     fn closed(&mut self) -> impl Future<Output = LossReason>;
 }
 
+/// Counts the bytes of an answer while an upstream sends it.
+#[derive(Debug)]
+pub struct AnswerMeter {
+    limit: usize,
+    charge: Option<Charge>,
+}
+
+impl AnswerMeter {
+    /// Returns a meter for an answer of at most `limit` bytes that are not counted.
+    pub fn of_limit(limit: usize) -> Self {
+        Self {
+            limit,
+            charge: None,
+        }
+    }
+
+    /// Returns a meter for an answer of at most `limit` bytes that are counted by `charge`.
+    pub(crate) fn new(limit: usize, charge: Charge) -> Self {
+        let charge = Some(charge);
+        Self { limit, charge }
+    }
+
+    /// Returns the largest answer in bytes.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
+    /// Counts the answer as having this many bytes; waits while the budget does not allow them.
+    ///
+    /// Bytes over the limit aren't waited for, since the budget may never allow them.
+    pub async fn reserve(&mut self, bytes: usize) {
+        if let Some(charge) = &mut self.charge {
+            charge.set(bytes.min(self.limit)).await;
+        }
+    }
+
+    /// Returns the whole answer, whose bytes stay counted until its last copy is dropped.
+    pub(crate) fn attach(self, answer: Bytes) -> Bytes {
+        match self.charge {
+            Some(mut charge) if !answer.is_empty() => {
+                charge.force(answer.len());
+                charge.attach(answer)
+            }
+            _ => answer,
+        }
+    }
+}
+
 /// Why a query on an open connection got no reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnQueryError {
@@ -215,10 +269,14 @@
     pub cfg: Rc<CallerSettings>,
     /// How long a request may take that states no timeout of its own.
     pub request_timeout: Duration,
+    /// The connection's share of the byte budget.
+    pub budget: ConnBudget,
     part: PartId,
     inboxes: Inboxes,
     rx: mpsc::UnboundedReceiver<ToCaller>,
     last_request: RequestId,
+    /// A request that was refused before it was submitted, with its answer.
+    refused: Option<(RequestId, Answer)>,
 }
 
 impl CallerChannel {
@@ -228,16 +286,19 @@
         inboxes: Inboxes,
         cfg: Rc<CallerSettings>,
         request_timeout: Duration,
+        budget: ConnBudget,
         rx: mpsc::UnboundedReceiver<ToCaller>,
     ) -> Self {
         Self {
             session,
             cfg,
             request_timeout,
+            budget,
             part,
             inboxes,
             rx,
             last_request: 0,
+            refused: None,
         }
     }
 
@@ -252,6 +313,7 @@
     /// Returns the reason if the login is refused, or `NotReady` if the host stops.
     pub async fn log_in(&mut self, login: Login) -> Result<(), Refusal> {
         let session = self.session;
+        self.budget.closing().note_login_sent();
         self.send_event(CallerEvent::Login { session, login });
         loop {
             match self.rx.recv().await {
@@ -264,15 +326,44 @@
     }
 
     /// Submits a request; its answer comes from [`Self::recv`].
-    pub fn submit(&mut self, req: Request) -> RequestId {
+    ///
+    /// The request's bytes are counted until its last copy is dropped. If the budget does not allow
+    /// them within [`MEMORY_WAIT`], the request is answered as refused.
+    pub async fn submit(&mut self, mut req: Request) -> RequestId {
         self.last_request += 1;
         let (session, id) = (self.session, self.last_request);
+        let mut charge = self.budget.charge();
+        let bytes = req.payload.len();
+        let allowed = tokio::time::timeout(MEMORY_WAIT, charge.set(bytes)).await;
+        // The end of a transaction must not be refused: it would leave the transaction open.
+        if allowed.is_err() && !req.in_transaction {
+            let answer = Answer::without_result(Verdict::NotRun(Refusal::Overloaded));
+            self.refused = Some((id, answer));
+            if logs::may_write(141) {
+                log::warn!("event=141 request-refused session={session} bytes={bytes}");
+            }
+            return id;
+        }
+        charge.force(bytes);
+        req.payload = charge.attach(req.payload);
         self.send_event(CallerEvent::Request { session, id, req });
         id
     }
 
+    /// Counts what a session keeps between its requests; returns whether the budget allows it.
+    pub async fn keep(&self, kept: &mut Charge, bytes: usize) -> bool {
+        let allowed = tokio::time::timeout(MEMORY_WAIT, kept.set(bytes)).await;
+        if allowed.is_err() {
+            self.budget.note_closed(CloseReason::KeptTooMuch);
+        }
+        allowed.is_ok()
+    }
+
     /// Waits for the next message to the caller; `None` means that the host stops.
     pub async fn recv(&mut self) -> Option<ToCaller> {
+        if let Some((id, answer)) = self.refused.take() {
+            return Some(ToCaller::Answer(id, answer));
+        }
         self.rx.recv().await
     }
 
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -10,6 +10,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, SystemTime};
 
+use budget::Pool;
 use decide::control::ControlPart;
 use decide::raft::PersistentState;
 use decide::spread::Seed;
@@ -17,24 +18,22 @@
 use decide::traffic::TrafficPart;
 use decide::{Event, PartState};
 use eyre::{WrapErr, eyre};
-use jsonrpsee::server::{Server, ServerHandle};
 use model::{CONTROL_PART, FIRST_TRAFFIC_PART, HostInfo, PartId};
-use peer::api::ApiServer;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{JoinSet, LocalSet};
 
 use crate::adapter::{Adapter, CallSender};
 use crate::clock;
+use crate::conn_budget::{self, Budget};
 use crate::disk::DiskThread;
 use crate::inbox::{EffectRunner, Inboxes, Input};
 use crate::metrics::Metrics;
 use crate::metrics_recorder::MetricsRecorder;
-use crate::rpc::Rpc;
 use crate::settings::HostSettings;
 use crate::thread_control::ControlRunner;
 use crate::thread_traffic::TrafficRunner;
-use crate::{listen, metrics_http, part_loop};
+use crate::{listen, metrics_http, part_loop, rpc};
 
 /// How long the control thread of a leaving host may take to end, once traffic has ended.
 ///
@@ -64,7 +63,6 @@
     control: PartThread,
     stop: watch::Sender<bool>,
     listeners: JoinSet<()>,
-    rpc: ServerHandle,
     shared_metrics: Arc<Metrics>,
     cfg: HostSettings,
     info: HostInfo,
@@ -102,37 +100,42 @@
         let callers = bind("listen.callers", cfg.listen.callers).await?;
         let peers = bind("listen.peers", cfg.listen.peers).await?;
         let metrics_listener = bind("listen.metrics", cfg.listen.metrics).await?;
-        let server = Server::builder().build(cfg.listen.api).await;
-        let server = server.wrap_err_with(|| format!("listen.api: {}", cfg.listen.api))?;
-        let api = server.local_addr()?;
+        let api_listener = bind("listen.api", cfg.listen.api).await?;
+        let api = api_listener.local_addr()?;
         let (caller_addr, peer_addr) = (callers.local_addr()?, peers.local_addr()?);
 
         let metrics_addr = metrics_listener.local_addr()?;
-        let metrics = Arc::new(Metrics::new());
+        let pool = Arc::new(Pool::new(&cfg.budget, conn_budget::machine_memory()));
+        let metrics = Arc::new(Metrics::new(pool.clone()));
+        let (budget, keeper_inbox) = Budget::new(&cfg.budget, pool, metrics.clone());
 
         let (inboxes, mut rxs) = create_inboxes(&cfg);
         let info = host_info(&cfg, peer_addr);
         let control_rx = rxs.remove(0);
-        let control = start_control::<A>(&cfg, &info, &inboxes, control_rx, &metrics)?;
+        let control = start_control::<A>(&cfg, &info, &inboxes, control_rx, &budget, &metrics)?;
         let mut traffic = Vec::new();
         for (nth, rx) in rxs.into_iter().enumerate() {
             let part = FIRST_TRAFFIC_PART + u16::try_from(nth)?;
             traffic.push(start_traffic::<A>(
-                &cfg, &info, &inboxes, part, rx, &metrics,
+                &cfg, &info, &inboxes, part, rx, &budget, &metrics,
             )?);
         }
 
         let (stop, stopped) = watch::channel(false);
         let mut listeners = JoinSet::new();
+        let keeper = conn_budget::run_keeper(budget.clone(), keeper_inbox, stopped.clone());
+        listeners.spawn(keeper);
         let secret = cfg.fleet_secret.clone();
         listeners.spawn(listen::accept_peers(
             peers,
             inboxes.clone(),
             secret,
+            budget.clone(),
             stopped.clone(),
         ));
         let metrics_server = metrics_http::serve(
             metrics_listener,
+            budget.clone(),
             metrics.clone(),
             cfg.listen.ready_path.as_str().into(),
             stopped.clone(),
@@ -144,13 +147,14 @@
             listeners.spawn(A::serve_platform_calls(
                 platform,
                 calls.clone(),
+                budget.clone(),
                 stopped.clone(),
             ));
         }
+        listeners.spawn(rpc::serve(api_listener, budget, calls, stopped.clone()));
         if cfg.entry {
             listeners.spawn(listen::accept_callers(callers, inboxes.clone(), stopped));
         }
-        let rpc = server.start(Rpc::new(calls).into_rpc());
         log::info!(
             "event=700 started host={} data_centre={} callers={caller_addr} peers={peer_addr} api={api} metrics={metrics_addr}",
             cfg.host,
@@ -166,7 +170,6 @@
             control,
             stop,
             listeners,
-            rpc,
             shared_metrics: metrics,
             cfg,
             info,
@@ -227,8 +230,6 @@
         self.inboxes.send_event(CONTROL_PART, Event::TrafficDrained);
         let deadline = tokio::time::Instant::now() + CONTROL_DRAIN_TIMEOUT;
         self.control.wait_for_end(deadline).await;
-        let _ = self.rpc.stop();
-        self.rpc.stopped().await;
         self.stop.send_replace(true);
         while self.listeners.join_next().await.is_some() {}
         for mut thread in self.traffic.into_iter().chain([self.control]) {
@@ -273,6 +274,7 @@
     info: &HostInfo,
     inboxes: &Inboxes,
     rx: Inbox,
+    budget: &Budget,
     metrics: &Arc<Metrics>,
 ) -> eyre::Result<PartThread> {
     let (disk, recovered) = start_disk_thread(cfg, inboxes)?;
@@ -284,10 +286,10 @@
         CONTROL_PART,
         PartRole::Control(Box::new(control)),
     );
-    let (cfg, inboxes) = (cfg.clone(), inboxes.clone());
+    let (cfg, inboxes, budget) = (cfg.clone(), inboxes.clone(), budget.clone());
     let recorder = MetricsRecorder::new(metrics.clone());
     start_thread("control".to_owned(), state, rx, recorder, move || {
-        ControlRunner::<A>::new(&cfg, inboxes, disk)
+        ControlRunner::<A>::new(&cfg, inboxes, disk, budget)
     })
 }
 
@@ -331,6 +333,7 @@
     inboxes: &Inboxes,
     part: PartId,
     rx: Inbox,
+    budget: &Budget,
     metrics: &Arc<Metrics>,
 ) -> eyre::Result<PartThread> {
     let state = initial_state(
@@ -339,10 +342,10 @@
         part,
         PartRole::Traffic(Box::new(TrafficPart::new(&cfg.decide_settings()))),
     );
-    let (cfg, inboxes) = (cfg.clone(), inboxes.clone());
+    let (cfg, inboxes, budget) = (cfg.clone(), inboxes.clone(), budget.clone());
     let recorder = MetricsRecorder::new(metrics.clone());
     start_thread(format!("traffic-{part}"), state, rx, recorder, move || {
-        TrafficRunner::<A>::new(part, &cfg, inboxes)
+        TrafficRunner::<A>::new(part, &cfg, inboxes, budget)
     })
 }
 
--- /dev/null
+++ b/crates/host/src/http_listener.rs
@@ -0,0 +1,97 @@
+//! Accepts the connections of an HTTP listener, and bounds their number, time and memory.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{AbortHandle, JoinSet};
+
+use crate::conn_budget::{Budget, CloseReason};
+use crate::inbox::join_or_abort;
+use crate::metered_io::MeteredIo;
+
+/// Pause after a failed accept, such as when the process has no file descriptors left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A connection that is served.
+struct Served {
+    task: AbortHandle,
+    /// Whether a call is in progress on it.
+    in_call: Arc<AtomicBool>,
+}
+
+/// Serves each accepted connection with `handle`, for `lifetime` at most, until the host stops.
+pub async fn serve<F, H>(
+    listener: TcpListener,
+    budget: Budget,
+    lifetime: Duration,
+    mut stop: watch::Receiver<bool>,
+    handle: H,
+) where
+    F: Future<Output = ()> + Send + 'static,
+    H: Fn(MeteredIo) -> F,
+{
+    let mut tasks = JoinSet::new();
+    let mut served: VecDeque<Served> = VecDeque::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = tasks.join_next() => continue,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        served.retain(|served| !served.task.is_finished());
+        if served.len() >= budget.cfg().max_calls {
+            close_oldest(&mut served, &budget);
+        }
+        let in_call = Arc::new(AtomicBool::new(false));
+        let task = tasks.spawn(serve_one(
+            stream,
+            budget.clone(),
+            lifetime,
+            in_call.clone(),
+            &handle,
+        ));
+        served.push_back(Served { task, in_call });
+    }
+    join_or_abort(tasks).await;
+}
+
+/// Closes the connection that was accepted first of those without a call, or else of all.
+fn close_oldest(served: &mut VecDeque<Served>, budget: &Budget) {
+    let is_idle = |served: &Served| !served.in_call.load(Ordering::Relaxed);
+    let oldest = served.iter().position(is_idle).unwrap_or(0);
+    if let Some(closed) = served.remove(oldest) {
+        closed.task.abort();
+        budget.note_closed(CloseReason::ConnectionsFull, 0);
+    }
+}
+
+/// Serves a connection until it ends, its time is over or it must free its memory.
+fn serve_one<F, H>(
+    stream: TcpStream,
+    budget: Budget,
+    lifetime: Duration,
+    in_call: Arc<AtomicBool>,
+    handle: &H,
+) -> impl Future<Output = ()> + Send + 'static + use<F, H>
+where
+    F: Future<Output = ()> + Send + 'static,
+    H: Fn(MeteredIo) -> F,
+{
+    let conn = budget.open();
+    let serving = handle(MeteredIo::new(stream, &conn, in_call));
+    async move {
+        tokio::select! {
+            () = serving => {}
+            () = tokio::time::sleep(lifetime) => {}
+            reason = conn.closed() => conn.note_closed(reason),
+        }
+    }
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -10,22 +10,30 @@
 //! a thread receives, and how others send it), `thread_control` and `thread_traffic` (how each
 //! kind of thread runs effects), `disk` (the thread that persists consensus state), `clock`
 //! (the time that decisions use, suspended time included).
-//! Sockets: `listen` (accepts callers and other hosts), `link` (connections between hosts),
+//! Sockets: `listen` (accepts callers and other hosts), `link` and `link_reader` (connections
+//! between hosts),
 //! `pooled_conn` (one pooled connection to an upstream), `upstream_query` (queries to upstreams
 //! outside of the pool, such as for their status), [`socket_options`], `rpc` (the JSON-RPC API).
+//! Memory: [`conn_budget`] (the byte budget and who is closed when it is exhausted),
+//! [`caller_stream`] (messages of a caller), [`metered_io`] and [`http_listener`] (HTTP).
 //! Protocols: [`adapter`] is the trait that a protocol of callers and upstreams implements;
 //! `pg_adapter`, `pg_caller` and `pg_upstream` implement it for PostgreSQL. Settings:
 //! [`settings`], [`settings_file`]. Log: [`logs`]. Metrics: `metrics` (the counters),
 //! `metrics_recorder` (updates them from events and effects), `metrics_http` (serves them).
 
 pub mod adapter;
+pub mod caller_stream;
 mod clock;
+pub mod conn_budget;
 pub mod daemon;
 mod disk;
+pub mod http_listener;
 mod inbox;
 mod link;
+mod link_reader;
 mod listen;
 pub mod logs;
+pub mod metered_io;
 mod metrics;
 mod metrics_http;
 mod metrics_recorder;
--- a/crates/host/src/link.rs
+++ b/crates/host/src/link.rs
@@ -1,8 +1,12 @@
-//! Links between hosts: each carries messages in one direction, from one part to one host.
+//! Outgoing links to other hosts: each carries messages in one direction, from one part to one host.
+//!
+//! `link_reader` reads the other end.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use budget::{Account, Charge};
 use bytes::{Bytes, BytesMut};
 use decide::{Event, Msg};
 use futures::{SinkExt, StreamExt};
@@ -12,23 +16,24 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
-use tokio_util::codec::{Framed, FramedParts, LengthDelimitedCodec};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::inbox::Inboxes;
 use crate::settings::Secret;
 use crate::socket_options;
 
-/// How long connecting may take, and how long an accepted link may take to send its hello.
+/// How long connecting may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause after a failed attempt to connect.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 /// Interval between the pings on an idle link.
 const PING_INTERVAL: Duration = Duration::from_millis(500);
-/// How long an incoming link may be silent before it counts as broken; 4 pings.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a frame may take to be written before the link counts as broken.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Size in bytes above which the buffer of a link is freed once it is written.
+const KEPT_BUFFER_BYTES: usize = 64 << 10;
+
 type Stream = Framed<TcpStream, LengthDelimitedCodec>;
 
 /// The outgoing links of one part: the addresses of other hosts, and a queue for each link.
@@ -41,11 +46,20 @@
     addrs: HashMap<HostId, watch::Sender<SocketAddr>>,
     /// The messages to write on the link to each host, with the part that receives each.
     queues: HashMap<HostId, mpsc::UnboundedSender<(PartId, Msg)>>,
+    /// From which the charge of each link is made.
+    account: Arc<Account>,
 }
 
 impl Links {
     /// Returns the state without links; each is opened at the first message to its host.
-    pub(crate) fn new(part: PartId, secret: Secret, inboxes: Inboxes) -> Self {
+    ///
+    /// What waits on a link to be written is counted for `account`.
+    pub(crate) fn new(
+        part: PartId,
+        secret: Secret,
+        inboxes: Inboxes,
+        account: Arc<Account>,
+    ) -> Self {
         let host = inboxes.host().clone();
         Self {
             from: PartAddr { host, part },
@@ -53,6 +67,7 @@
             inboxes,
             addrs: HashMap::default(),
             queues: HashMap::default(),
+            account,
         }
     }
 
@@ -91,6 +106,7 @@
                 secret: self.secret.clone(),
                 inboxes: self.inboxes.clone(),
                 addr: addr.subscribe(),
+                unwritten: Charge::new(self.account.clone()),
             };
             tasks.spawn_local(task.run(rx));
             tx
@@ -106,6 +122,8 @@
     secret: Secret,
     inboxes: Inboxes,
     addr: watch::Receiver<SocketAddr>,
+    /// Counts the bytes of encoded frames that are not written yet.
+    unwritten: Charge,
 }
 
 impl OutgoingLink {
@@ -167,12 +185,18 @@
                 {
                     return;
                 }
+                // The bytes exist already, and a link must not wait for callers' memory.
+                self.unwritten.force(stream.write_buffer().len());
                 queued = rx.try_recv().ok();
             }
             let flushed = timeout(WRITE_TIMEOUT, SinkExt::<Bytes>::flush(&mut stream)).await;
+            self.unwritten.force(0);
             if !matches!(flushed, Ok(Ok(()))) {
                 return;
             }
+            if stream.write_buffer().capacity() > KEPT_BUFFER_BYTES {
+                *stream.write_buffer_mut() = BytesMut::new();
+            }
             tokio::select! {
                 msg = rx.recv() => match msg {
                     Some(msg) => next = Some(msg),
@@ -213,51 +237,3 @@
     let fed = timeout(WRITE_TIMEOUT, stream.feed(bytes)).await;
     fed.ok()?.ok()
 }
-
-/// Reads the hello of an accepted link.
-///
-/// Returns it with the stream and the bytes that were read after it, or `None` if it doesn't come
-/// in time or can't be decoded.
-pub(crate) async fn read_hello(stream: TcpStream) -> Option<(LinkHello, TcpStream, BytesMut)> {
-    let mut stream = Framed::new(stream, frame::codec());
-    let hello = timeout(CONNECT_TIMEOUT, stream.next()).await;
-    let hello = hello.ok()??.ok()?;
-    let hello = frame::decode(&hello).ok()?;
-    let FramedParts { io, read_buf, .. } = stream.into_parts();
-    Some((hello, io, read_buf))
-}
-
-/// Reads an accepted link until it breaks, then sends `Event::LinkDown` to every part.
-pub(crate) async fn read_link(
-    stream: std::net::TcpStream,
-    unread: BytesMut,
-    from: PartAddr,
-    inboxes: Inboxes,
-) {
-    read_frames(stream, unread, &from, &inboxes).await;
-    inboxes.send_event_to_all(&Event::LinkDown(from.host));
-}
-
-/// Passes messages on to their parts; returns `None` when the link is broken or silent.
-async fn read_frames(
-    stream: std::net::TcpStream,
-    unread: BytesMut,
-    from: &PartAddr,
-    inboxes: &Inboxes,
-) -> Option<()> {
-    let stream = TcpStream::from_std(stream).ok()?;
-    let mut parts = FramedParts::new::<Bytes>(stream, frame::codec());
-    parts.read_buf = unread;
-    let mut stream = Framed::from_parts(parts);
-    loop {
-        let bytes = timeout(SILENCE_TIMEOUT, stream.next()).await;
-        let bytes = bytes.ok()??.ok()?;
-        match frame::decode::<Frame>(&bytes).ok()? {
-            Frame::Ping => {}
-            Frame::Msg { to, msg } => {
-                let from = from.clone();
-                inboxes.send_event(to, Event::Peer { from, msg });
-            }
-        }
-    }
-}
--- a/crates/host/src/listen.rs
+++ b/crates/host/src/listen.rs
@@ -1,5 +1,6 @@
 //! Accepts callers and other hosts, and passes each connection to the part that serves it.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use model::{CONTROL_PART, FIRST_TRAFFIC_PART, PartId};
@@ -7,10 +8,12 @@
 use subtle::ConstantTimeEq;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 
+use crate::conn_budget::{Budget, CloseReason};
 use crate::inbox::{Inboxes, Input};
-use crate::link::read_hello;
+use crate::link_reader::read_hello;
+use crate::logs;
 use crate::settings::Secret;
 use crate::socket_options;
 
@@ -45,9 +48,11 @@
     listener: TcpListener,
     inboxes: Inboxes,
     secret: Secret,
+    budget: Budget,
     mut stop: watch::Receiver<bool>,
 ) {
     let mut hellos = JoinSet::new();
+    let mut oldest_first: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -58,11 +63,20 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        oldest_first.retain(|hello| !hello.is_finished());
+        if oldest_first.len() >= budget.cfg().max_hellos
+            && let Some(oldest) = oldest_first.pop_front()
+        {
+            oldest.abort();
+            budget.note_closed(CloseReason::ConnectionsFull, 0);
+        }
         let (inboxes, secret) = (inboxes.clone(), secret.clone());
-        hellos.spawn(async move {
+        let hello = hellos.spawn(async move {
             socket_options::set_options_or_warn(&stream);
             let Some((hello, stream, unread)) = read_hello(stream).await else {
-                log::warn!("event=521 link-refused addr={addr} reason=bad-hello");
+                if logs::may_write(521) {
+                    log::warn!("event=521 link-refused addr={addr} reason=bad-hello");
+                }
                 return;
             };
             if let Err(reason) = check_hello(&hello, &secret, &inboxes) {
@@ -83,6 +97,7 @@
                 },
             );
         });
+        oldest_first.push_back(hello);
     }
     hellos.shutdown().await;
 }
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -1,5 +1,8 @@
 //! The metrics of a host, as atomics that every thread can update without a lock.
 
+use std::sync::Arc;
+
+use budget::Pool;
 use decide::conn::LossReason;
 use decide::upstream_query::UpstreamQuery;
 use model::{HashMap, Kind, Refusal, Role, Verdict};
@@ -9,6 +12,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+use crate::conn_budget::CloseReason;
+
 /// A label: its name and its value.
 type Label = (&'static str, &'static str);
 /// The counters of one metric by their labels, looked up in advance.
@@ -63,6 +68,10 @@
     refusals: Counters<2>,
     queries: Counters<1>,
     lost_connections: Counters<1>,
+    closed_clients: Counters<1>,
+    /// The byte budget of the process, and the gauge that shows its use.
+    pool: Arc<Pool>,
+    buffered_bytes: Gauge,
     /// The number of sessions of callers, counted from their login.
     pub(crate) sessions: Gauge,
     /// The number of open pooled connections.
@@ -79,7 +88,7 @@
 
 impl Metrics {
     /// Registers all metrics, with the value 0.
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(pool: Arc<Pool>) -> Self {
         let mut registry = Registry::with_prefix("caraway");
         let requests = Family::default();
         let help = "Requests answered, by kind, role of the upstream and verdict";
@@ -93,6 +102,9 @@
         let lost_connections = Family::default();
         let help = "Pooled connections that became unusable, by reason";
         registry.register("lost_connections", help, lost_connections.clone());
+        let closed_clients = Family::default();
+        let help = "Connections of clients that the host has closed, by reason";
+        registry.register("closed_clients", help, closed_clients.clone());
         let links_down = Counter::default();
         let help = "Broken links to other hosts, counted by each thread that learns of it";
         registry.register("links_down", help, links_down.clone());
@@ -101,7 +113,18 @@
             registry.register(name, help, gauge.clone());
             gauge
         };
+        let limit = gauge(
+            "buffer_limit_bytes",
+            "Bytes that buffers of clients may take",
+        );
+        limit.set(i64::try_from(pool.total()).unwrap_or(i64::MAX));
         Self {
+            buffered_bytes: gauge("buffered_bytes", "Bytes that are buffered for clients"),
+            pool,
+            closed_clients: look_up_counters(
+                &closed_clients,
+                CloseReason::all().map(|reason| [("reason", reason.as_str())]),
+            ),
             sessions: gauge("sessions", "Sessions of callers, from login on"),
             pooled_connections: gauge("pooled_connections", "Pooled connections that are open"),
             config_version: gauge("config_version", "Version of the configuration in force"),
@@ -158,6 +181,11 @@
         increment(&self.lost_connections, &loss_label(reason));
     }
 
+    /// Counts a connection of a client that the host closes.
+    pub(crate) fn count_closed_client(&self, reason: CloseReason) {
+        increment(&self.closed_clients, &[("reason", reason.as_str())]);
+    }
+
     /// Returns whether the host can serve callers: its configuration is usable and it isn't leaving.
     pub(crate) fn is_ready(&self) -> bool {
         self.config_usable.get() == 1 && self.leaving.get() == 0
@@ -165,6 +193,8 @@
 
     /// Returns all metrics as OpenMetrics text.
     pub(crate) fn to_openmetrics(&self) -> Result<String, std::fmt::Error> {
+        let buffered = i64::try_from(self.pool.used()).unwrap_or(i64::MAX);
+        self.buffered_bytes.set(buffered);
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
         Ok(text)
--- a/crates/host/src/metrics_http.rs
+++ b/crates/host/src/metrics_http.rs
@@ -12,10 +12,12 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
 
+use crate::conn_budget::Budget;
+use crate::http_listener;
+use crate::metered_io::MeteredIo;
 use crate::metrics::Metrics;
 
 /// The media type of the metrics.
@@ -24,50 +26,32 @@
 const PLAIN_TEXT_TYPE: &str = "text/plain; charset=utf-8";
 /// How long a connection may last; each carries one request.
 const CONNECTION_TIMEOUT: Duration = Duration::from_secs(5);
-/// Maximum number of connections at a time; further ones are closed.
-const MAX_CONNECTIONS: usize = 64;
-/// Pause after a failed accept, such as when the process has no file descriptors left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Limit of a request's head in bytes, the smallest that the HTTP library allows.
+const MAX_HEAD_BYTES: usize = 8 << 10;
 
 /// Serves `/metrics` and `ready_path` until the host has stopped.
 pub(crate) async fn serve(
     listener: TcpListener,
+    budget: Budget,
     metrics: Arc<Metrics>,
     ready_path: Arc<str>,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
 ) {
-    let mut connections = JoinSet::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
-        };
-        while connections.try_join_next().is_some() {}
-        match accepted {
-            Ok((stream, _)) if connections.len() < MAX_CONNECTIONS => {
-                connections.spawn(serve_connection(
-                    stream,
-                    metrics.clone(),
-                    ready_path.clone(),
-                ));
-            }
-            Ok(_) => {}
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-        }
-    }
-    connections.shutdown().await;
+    let handle = |io| serve_connection(io, metrics.clone(), ready_path.clone());
+    // A client that is too slow or speaks no HTTP is disconnected, without a log line.
+    http_listener::serve(listener, budget, CONNECTION_TIMEOUT, stop, handle).await;
 }
 
-async fn serve_connection(stream: TcpStream, metrics: Arc<Metrics>, ready_path: Arc<str>) {
+async fn serve_connection(io: MeteredIo, metrics: Arc<Metrics>, ready_path: Arc<str>) {
     let service = service_fn(|req| {
         let response = respond(&req, &metrics, &ready_path);
         async { Ok::<_, Infallible>(response) }
     });
     let connection = http1::Builder::new()
         .keep_alive(false)
-        .serve_connection(TokioIo::new(stream), service);
-    // A client that is too slow or speaks no HTTP is disconnected, without a log line.
-    let _ = tokio::time::timeout(CONNECTION_TIMEOUT, connection).await;
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(io), service);
+    let _ = connection.await;
 }
 
 fn respond(req: &Request<Incoming>, metrics: &Metrics, ready_path: &str) -> Response<Full<Bytes>> {
--- a/crates/host/src/pg_adapter.rs
+++ b/crates/host/src/pg_adapter.rs
@@ -5,7 +5,6 @@
 use decide::authority::{PromotionError, PromotionOrder};
 use decide::conn::{LossReason, RunOutcome, UpstreamRejection};
 use decide::upstream_query::{QueryError, QueryReply, UpstreamQuery};
-use futures::{SinkExt, StreamExt};
 use model::Claim;
 use pg::codec::CodecError;
 use pg::status_row::{StatusRow, parse_status_row, status_sql};
@@ -15,9 +14,10 @@
 use tokio::sync::watch;
 
 use crate::adapter::{
-    Adapter, CallSender, CallerChannel, ConnQueryError, LoginError, RunJob, UpstreamConn,
-    UpstreamTarget,
+    Adapter, AnswerMeter, CallSender, CallerChannel, ConnQueryError, LoginError, RunJob,
+    UpstreamConn, UpstreamTarget,
 };
+use crate::conn_budget::Budget;
 use crate::pg_caller::PgCaller;
 use crate::pg_upstream::{UpstreamStream, login};
 use crate::settings::{OrderSettings, UpstreamSettings};
@@ -49,7 +49,12 @@
         Ok(PgConn { stream })
     }
 
-    async fn serve_platform_calls(_: TcpListener, _: CallSender, mut stop: watch::Receiver<bool>) {
+    async fn serve_platform_calls(
+        _: TcpListener,
+        _: CallSender,
+        _: Budget,
+        mut stop: watch::Receiver<bool>,
+    ) {
         // There are no platform calls here: upstreams announce themselves over the JSON-RPC API.
         let _ = stop.wait_for(|stop| *stop).await;
     }
@@ -69,7 +74,7 @@
     async fn run(
         &mut self,
         job: &RunJob,
-        limit: usize,
+        meter: &mut AnswerMeter,
         sent: &mut bool,
     ) -> Result<RunOutcome, LossReason> {
         let bytes = encode_run(&job.payload, job.wait_for, job.want_status)
@@ -77,9 +82,11 @@
         *sent = true;
         let broken = |_: CodecError| LossReason::Broken;
         self.stream.send(bytes).await.map_err(broken)?;
+        let limit = meter.limit();
         let mut collector = AnswerCollector::new(job.wait_for.is_some(), job.want_status, limit);
         loop {
-            let msg = self.stream.next().await.ok_or(LossReason::Broken)?;
+            let msg = self.stream.next_of_answer(collector.len(), meter).await;
+            let msg = msg.ok_or(LossReason::Broken)?;
             let collected = collector.on_message(msg.map_err(broken)?);
             if let Some(collected) = collected.map_err(loss_reason)? {
                 return Ok(RunOutcome {
--- a/crates/host/src/pg_caller.rs
+++ b/crates/host/src/pg_caller.rs
@@ -1,11 +1,9 @@
 //! Serves the connection of one PostgreSQL caller.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use decide::caller::Login;
-use futures::{SinkExt, StreamExt};
 use model::{RequestId, SessionId, TxStatus};
 use pg::caller_session::{CallerAction, CallerSession, StartupRequest, read_startup};
 use pg::codec::{CallerCodec, CodecError, encode_backend};
@@ -13,12 +11,13 @@
 use pgwire::messages::response::SslResponse;
 use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus, SecretKey};
 use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage, SslNegotiationMetaMessage};
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tokio_util::codec::Framed;
+use tokio_util::codec::Decoder;
 
 use crate::adapter::{CallerChannel, ToCaller};
+use crate::caller_stream::{CallerStream, Split, StreamError};
+use crate::conn_budget::CloseReason;
 
 /// Maximum number of messages that are read ahead while a request runs.
 const MAX_READ_AHEAD: usize = 64;
@@ -30,14 +29,40 @@
     caller: &'a mut CallerChannel,
 }
 
-type Stream = Framed<TcpStream, CallerCodec>;
+type Stream = CallerStream<CallerCodec>;
+
+impl Split for CallerCodec {
+    type Item = PgWireFrontendMessage;
+    type Error = CodecError;
+
+    fn split(&mut self, buf: &mut BytesMut) -> Result<Option<Self::Item>, CodecError> {
+        self.decode(buf)
+    }
+
+    fn size(&self, buf: &[u8]) -> Option<usize> {
+        self.message_size(buf)
+    }
+}
 
 /// The session has ended: the caller has closed it, or has been sent a final error.
-struct CallerGone;
+struct CallerGone {
+    /// Why the host closes the connection, if its limits say so.
+    reason: Option<CloseReason>,
+}
 
 impl From<CodecError> for CallerGone {
     fn from(_: CodecError) -> Self {
-        Self
+        Self { reason: None }
+    }
+}
+
+impl From<StreamError<CodecError>> for CallerGone {
+    fn from(error: StreamError<CodecError>) -> Self {
+        let reason = match error {
+            StreamError::Stalled(reason) => Some(reason),
+            _ => None,
+        };
+        Self { reason }
     }
 }
 
@@ -49,26 +74,37 @@
 
     /// Serves the caller until either side ends the session.
     pub(crate) async fn run(mut self, stream: TcpStream) {
-        let codec = CallerCodec::new(self.caller.cfg.max_message_bytes);
-        let mut stream = Framed::new(stream, codec);
+        // A message that the byte budget never allows would be waited for without end.
+        let largest = self.caller.budget.budget().pool().largest();
+        let codec = CallerCodec::new(self.caller.cfg.max_message_bytes.min(largest));
+        let (cfg, budget) = (&self.caller.cfg, &self.caller.budget);
+        let mut stream = CallerStream::new(stream, codec, MAX_READ_AHEAD, cfg, budget);
         let login_timeout = self.caller.cfg.login_timeout;
-        if let Ok(Ok(startup)) = timeout(login_timeout, self.log_in(&mut stream)).await {
-            let _ = self.serve(&mut stream, &startup).await;
+        let reason = match timeout(login_timeout, self.log_in(&mut stream)).await {
+            Ok(Ok(startup)) => {
+                let served = self.serve(&mut stream, &startup).await;
+                served.err().and_then(|gone| gone.reason)
+            }
+            Ok(Err(gone)) => gone.reason,
+            Err(_) => Some(CloseReason::LoginTimeout),
+        };
+        if let Some(reason) = reason {
+            self.caller.budget.note_closed(reason);
         }
     }
 
     async fn log_in(&mut self, stream: &mut Stream) -> Result<StartupRequest, CallerGone> {
         let startup_message = loop {
-            match next_message(stream).await? {
+            match stream.next().await? {
                 PgWireFrontendMessage::Startup(message) => break message,
                 PgWireFrontendMessage::SslNegotiation(SslNegotiationMetaMessage::None) => {}
                 PgWireFrontendMessage::SslNegotiation(_) => {
                     let refuse = PgWireBackendMessage::SslResponse(SslResponse::Refuse);
-                    stream.send(encode_backend(&[refuse])?).await?;
-                    stream.codec_mut().ssl_negotiated();
+                    stream.send(&encode_backend(&[refuse])?).await?;
+                    stream.split_mut().ssl_negotiated();
                 }
                 // Cancel requests are ignored, since statements are short.
-                _ => return Err(CallerGone),
+                _ => return Err(CallerGone { reason: None }),
             }
         };
         let startup = match read_startup(&startup_message) {
@@ -92,7 +128,7 @@
         if let Err(refusal) = self.caller.log_in(login).await {
             return send_final_error(stream, reply::fatal_error(refusal)).await;
         }
-        stream.send(login_messages(self.caller.session)?).await?;
+        stream.send(&login_messages(self.caller.session)?).await?;
         Ok(startup)
     }
 
@@ -107,31 +143,37 @@
         let max_answer_bytes = self.caller.cfg.max_message_bytes.max(64 << 20);
         let mut session =
             CallerSession::new(startup, self.caller.request_timeout, max_answer_bytes);
-        let mut read_ahead = VecDeque::new();
+        let mut kept = self.caller.budget.charge();
         let mut running: Option<RequestId> = None;
         loop {
             if running.is_none()
-                && let Some(msg) = read_ahead.pop_front()
+                && let Some(msg) = stream.pop()
             {
                 match session.on_message(msg)? {
                     CallerAction::AwaitMore => {}
-                    CallerAction::Reply(bytes) => stream.send(bytes).await?,
+                    CallerAction::Reply(bytes) => stream.send(&bytes).await?,
                     CallerAction::Close => return Ok(()),
-                    CallerAction::Submit(req) => running = Some(self.caller.submit(req)),
+                    CallerAction::Submit(req) => running = Some(self.caller.submit(req).await),
+                }
+                stream.set_unfinished(session.in_batch());
+                let bytes = session.kept_bytes();
+                if bytes != kept.bytes() && !self.caller.keep(&mut kept, bytes).await {
+                    let text = "the session keeps more than the host has memory for";
+                    let error = reply::not_run_error("53200", text);
+                    return send_final_error(stream, error).await;
                 }
                 continue;
             }
-            let may_read = read_ahead.len() < MAX_READ_AHEAD;
+            let may_read = stream.may_read_ahead();
             tokio::select! {
-                msg = next_message(stream), if may_read => match msg {
-                    Ok(msg) => read_ahead.push_back(msg),
-                    Err(error) => return self.on_read_error(stream, error).await,
+                read = stream.read_ahead(), if may_read => if let Err(error) = read {
+                    return self.on_read_error(stream, error).await;
                 },
                 msg = self.caller.recv() => match msg {
                     Some(ToCaller::Answer(id, answer)) => {
                         if running == Some(id) {
                             running = None;
-                            stream.send(session.on_answer(answer)?).await?;
+                            stream.send(&session.on_answer(answer)?).await?;
                         }
                     }
                     Some(ToCaller::EndSession(refusal)) if running.is_none() => {
@@ -146,10 +188,15 @@
     }
 
     /// Ends the session after a failed read, with an error if the caller sent a malformed message.
-    async fn on_read_error(&self, stream: &mut Stream, error: ReadError) -> Result<(), CallerGone> {
+    async fn on_read_error(
+        &self,
+        stream: &mut Stream,
+        error: StreamError<CodecError>,
+    ) -> Result<(), CallerGone> {
         match error {
-            ReadError::Gone => Ok(()),
-            ReadError::Malformed(error) => {
+            StreamError::Ended | StreamError::Io(_) => Ok(()),
+            StreamError::Stalled(_) => Err(error.into()),
+            StreamError::Malformed(error) => {
                 log::warn!(
                     "event=120 bad-message session={} error={error}",
                     self.caller.session
@@ -160,36 +207,14 @@
     }
 }
 
-/// Why reading a message failed.
-enum ReadError {
-    /// The caller has closed the connection.
-    Gone,
-    /// The message can't be decoded.
-    Malformed(CodecError),
-}
-
-impl From<ReadError> for CallerGone {
-    fn from(_: ReadError) -> Self {
-        Self
-    }
-}
-
-async fn next_message(stream: &mut Stream) -> Result<PgWireFrontendMessage, ReadError> {
-    match stream.next().await {
-        Some(Ok(msg)) => Ok(msg),
-        Some(Err(CodecError::Io(_))) | None => Err(ReadError::Gone),
-        Some(Err(error)) => Err(ReadError::Malformed(error)),
-    }
-}
-
 async fn read_password(stream: &mut Stream) -> Result<String, CallerGone> {
     let request = PgWireBackendMessage::Authentication(Authentication::CleartextPassword);
-    stream.send(encode_backend(&[request])?).await?;
-    match next_message(stream).await? {
+    stream.send(&encode_backend(&[request])?).await?;
+    match stream.next().await? {
         PgWireFrontendMessage::PasswordMessageFamily(family) => {
             Ok(pg::codec::read_password(family)?)
         }
-        _ => Err(CallerGone),
+        _ => Err(CallerGone { reason: None }),
     }
 }
 
@@ -215,22 +240,13 @@
     encode_backend(&msgs)
 }
 
-/// Sends the error that ends the session, and reads until the caller has closed the connection, in
+/// Sends the error that ends the session, and waits until the caller has closed the connection, in
 /// bounded time.
-///
-/// If bytes were left unread, the system would reset the connection, and the caller might miss the
-/// error.
 async fn send_final_error<T>(
     stream: &mut Stream,
     error: PgWireBackendMessage,
 ) -> Result<T, CallerGone> {
     let bytes = encode_backend(&[error])?;
-    let _ = timeout(FINAL_ERROR_TIMEOUT, async {
-        let sent = stream.send(bytes).await.is_ok();
-        if sent && stream.get_mut().shutdown().await.is_ok() {
-            while next_message(stream).await.is_ok() {}
-        }
-    })
-    .await;
-    Err(CallerGone)
+    stream.finish(&bytes, FINAL_ERROR_TIMEOUT).await;
+    Err(CallerGone { reason: None })
 }
--- a/crates/host/src/pg_upstream.rs
+++ b/crates/host/src/pg_upstream.rs
@@ -3,19 +3,83 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures::{SinkExt, StreamExt};
-use pg::codec::{CodecError, UpstreamCodec, encode_frontend};
+use bytes::{Bytes, BytesMut};
+use pg::codec::{CodecError, UpstreamCodec, encode_frontend, stated_size};
 use pgwire::messages::startup::{Authentication, Password, PasswordMessageFamily, Startup};
 use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio_util::codec::Framed;
+use tokio_util::codec::Decoder;
 
-use crate::adapter::LoginError;
+use crate::adapter::{AnswerMeter, LoginError};
 use crate::settings::UpstreamSettings;
 use crate::socket_options;
 
 /// A connection to an upstream, logged in and ready for statements.
-pub(crate) type UpstreamStream = Framed<TcpStream, UpstreamCodec>;
+#[derive(Debug)]
+pub(crate) struct UpstreamStream {
+    stream: TcpStream,
+    codec: UpstreamCodec,
+    buf: BytesMut,
+}
+
+/// Free buffer space in bytes that is provided for a read.
+const READ_BYTES: usize = 8 << 10;
+
+impl UpstreamStream {
+    /// Wraps a connection from which nothing has been read.
+    fn new(stream: TcpStream, codec: UpstreamCodec) -> Self {
+        let buf = BytesMut::new();
+        Self { stream, codec, buf }
+    }
+
+    /// Returns the next message, or `None` once the connection has ended; loses no bytes if the
+    /// future is dropped.
+    pub(crate) async fn next(&mut self) -> Option<Result<PgWireBackendMessage, CodecError>> {
+        let mut uncounted = AnswerMeter::of_limit(usize::MAX);
+        self.next_of_answer(0, &mut uncounted).await
+    }
+
+    /// Returns the next message of an answer of which `before` bytes were received, as
+    /// [`Self::next`] does; waits until `meter` has counted the message's bytes.
+    pub(crate) async fn next_of_answer(
+        &mut self,
+        before: usize,
+        meter: &mut AnswerMeter,
+    ) -> Option<Result<PgWireBackendMessage, CodecError>> {
+        loop {
+            match self.codec.decode(&mut self.buf) {
+                Ok(None) => {}
+                Ok(Some(msg)) => {
+                    if self.buf.is_empty() {
+                        // The buffer of a large message would stay with an idle connection.
+                        self.buf = BytesMut::new();
+                    }
+                    return Some(Ok(msg));
+                }
+                Err(error) => return Some(Err(error)),
+            }
+            let size = stated_size(&self.buf).unwrap_or_default();
+            meter.reserve(before + size).await;
+            let missing = size.saturating_sub(self.buf.len());
+            self.buf.reserve(missing.max(READ_BYTES));
+            match self.stream.read_buf(&mut self.buf).await {
+                Ok(0) => return None,
+                Ok(_) => {}
+                Err(error) => return Some(Err(error.into())),
+            }
+        }
+    }
+
+    /// Sends messages that are encoded already.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks.
+    pub(crate) async fn send(&mut self, bytes: Bytes) -> Result<(), CodecError> {
+        Ok(self.stream.write_all(&bytes).await?)
+    }
+}
 
 /// The SQLSTATE `too_many_connections`.
 const TOO_MANY_CONNECTIONS: &str = "53300";
@@ -52,7 +116,7 @@
     let stream = TcpStream::connect(addr).await?;
     socket_options::set_options_or_warn(&stream);
     let codec = UpstreamCodec::new(cfg.max_answer_bytes);
-    let mut stream = Framed::new(stream, codec);
+    let mut stream = UpstreamStream::new(stream, codec);
     let mut startup = Startup::new();
     let params = [
         ("user", cfg.user.as_str()),
--- a/crates/host/src/pooled_conn.rs
+++ b/crates/host/src/pooled_conn.rs
@@ -7,7 +7,8 @@
 use model::{ConnId, PartId};
 use tokio::sync::mpsc;
 
-use crate::adapter::{Adapter, LoginError, RunJob, UpstreamConn, UpstreamTarget};
+use crate::adapter::{Adapter, AnswerMeter, LoginError, RunJob, UpstreamConn, UpstreamTarget};
+use crate::conn_budget::Budget;
 use crate::inbox::Inboxes;
 use crate::settings::UpstreamSettings;
 
@@ -17,6 +18,7 @@
     target: UpstreamTarget,
     mut jobs: mpsc::UnboundedReceiver<RunJob>,
     cfg: Rc<UpstreamSettings>,
+    budget: Budget,
     inboxes: Inboxes,
     part: PartId,
 ) {
@@ -47,10 +49,16 @@
             return;
         };
         let mut sent = false;
-        let run = upstream.run(&job, cfg.max_answer_bytes, &mut sent);
+        // A larger answer than the budget ever allows would wait until the timeout.
+        let limit = cfg.max_answer_bytes.min(budget.pool().largest());
+        let mut meter = AnswerMeter::new(limit, budget.charge());
+        let run = upstream.run(&job, &mut meter, &mut sent);
         let outcome = tokio::time::timeout(job.timeout, run).await;
         match outcome.unwrap_or(Err(LossReason::TimedOut)) {
-            Ok(outcome) => report(ConnEvent::Done { conn, outcome }),
+            Ok(mut outcome) => {
+                outcome.payload = meter.attach(outcome.payload);
+                report(ConnEvent::Done { conn, outcome });
+            }
             Err(reason) => {
                 report(ConnEvent::Lost {
                     conn,
--- a/crates/host/src/rpc.rs
+++ b/crates/host/src/rpc.rs
@@ -1,13 +1,58 @@
 //! Serves the JSON-RPC API: passes each call to the control part and returns its reply.
 
+use std::time::Duration;
+
 use decide::call::{Call, Patch, PatchOutcome, Reply};
 use decide::view::FleetStatus;
 use jsonrpsee::core::async_trait;
+use jsonrpsee::server::{ServerBuilder, ServerConfig, serve_with_graceful_shutdown, stop_channel};
 use jsonrpsee::types::{ErrorCode, ErrorObjectOwned};
 use model::{Announcement, Config, ConfigVersion, HostId};
 use peer::api::{ApiServer, refused, unconfirmed};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use crate::adapter::CallSender;
+use crate::conn_budget::Budget;
+use crate::http_listener;
+
+/// Largest body of a call in bytes; a patch of a thousand changes is below it.
+const MAX_CALL_BYTES: u32 = 4 << 20;
+/// Longest time that a connection is kept, busy or not.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Serves the API until the host stops.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    budget: Budget,
+    calls: CallSender,
+    stop: watch::Receiver<bool>,
+) {
+    let max_calls = u32::try_from(budget.cfg().max_calls).unwrap_or(u32::MAX);
+    let cfg = ServerConfig::builder()
+        .http_only()
+        .max_request_body_size(MAX_CALL_BYTES)
+        .max_connections(max_calls)
+        .build();
+    // The host's own signal stops the connections.
+    let (stop_handle, _server) = stop_channel();
+    let service = ServerBuilder::with_config(cfg)
+        .to_service_builder()
+        .build(Rpc::new(calls).into_rpc(), stop_handle);
+    let handle = |io| {
+        let (service, mut stop) = (service.clone(), stop.clone());
+        async move {
+            let stopped = async move {
+                let _ = stop.wait_for(|stop| *stop).await;
+            };
+            let served = serve_with_graceful_shutdown(io, service, stopped).await;
+            if let Err(error) = served {
+                log::debug!("event=708 call-broken error={error}");
+            }
+        }
+    };
+    http_listener::serve(listener, budget, CONNECTION_TIMEOUT, stop.clone(), handle).await;
+}
 
 /// The JSON-RPC API of one host.
 #[derive(Clone, Debug)]
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use budget::BudgetSettings;
 use decide::grant::GrantSettings;
 use decide::group::GroupSettings;
 use decide::owner::OwnerSettings;
@@ -48,6 +49,8 @@
     pub upstream: UpstreamSettings,
     /// Limits for callers.
     pub caller: CallerSettings,
+    /// The memory for buffers, and limits for clients that hold much of it.
+    pub budget: BudgetSettings,
     /// What is logged, and where to.
     pub log: LogSettings,
     /// Sessions, routing and retries.
@@ -105,6 +108,7 @@
             orders: OrderSettings::default(),
             upstream: UpstreamSettings::default(),
             caller: CallerSettings::default(),
+            budget: BudgetSettings::default(),
             log: LogSettings::default(),
             session: SessionSettings::default(),
             owner: OwnerSettings::default(),
@@ -240,6 +244,17 @@
     pub max_message_bytes: usize,
     /// How many connections of callers each traffic thread accepts at a time.
     pub max_connections: usize,
+    /// How many callers of each traffic thread may be logging in; one more closes the oldest login.
+    pub max_logins: usize,
+    /// The bytes of messages that are read ahead of a caller's running request.
+    pub max_read_ahead_bytes: usize,
+    /// How long a caller may take for the next `stall_bytes` of a message or of an answer.
+    ///
+    /// A caller from whom nothing is expected may be silent for any time.
+    #[serde(with = "humantime_serde")]
+    pub stall_timeout: Duration,
+    /// The bytes that a caller must send or read in each `stall_timeout`, unless it gets to the end.
+    pub stall_bytes: usize,
 }
 
 impl Default for CallerSettings {
@@ -248,6 +263,10 @@
             login_timeout: Duration::from_secs(10),
             max_message_bytes: 16 << 20,
             max_connections: 10_000,
+            max_logins: 384,
+            max_read_ahead_bytes: 1 << 20,
+            stall_timeout: Duration::from_secs(10),
+            stall_bytes: 4 << 10,
         }
     }
 }
--- a/crates/host/src/settings_file.rs
+++ b/crates/host/src/settings_file.rs
@@ -88,6 +88,7 @@
     check_roles(cfg, &mut faults);
     check_control_hosts(cfg, &mut faults);
     check_listen(cfg, &mut faults);
+    faults.extend(cfg.budget.faults());
     faults
 }
 
--- a/crates/host/src/thread_control.rs
+++ b/crates/host/src/thread_control.rs
@@ -10,9 +10,11 @@
 use tokio::task::JoinSet;
 
 use crate::adapter::Adapter;
+use crate::conn_budget::Budget;
 use crate::disk::DiskThread;
 use crate::inbox::{EffectRunner, Inboxes, Input, join_or_abort};
-use crate::link::{self, Links};
+use crate::link::Links;
+use crate::link_reader;
 use crate::logs;
 use crate::settings::{HostSettings, OrderSettings};
 use crate::upstream_query::UpstreamQueries;
@@ -26,6 +28,7 @@
     pending_calls: HashMap<CallId, oneshot::Sender<Reply>>,
     last_call: CallId,
     disk: DiskThread,
+    budget: Budget,
     tasks: JoinSet<()>,
     order_cfg: Rc<OrderSettings>,
 }
@@ -35,8 +38,19 @@
 
 impl<A: Adapter> ControlRunner<A> {
     /// Returns a runner that knows the addresses of the control hosts in the settings.
-    pub(crate) fn new(cfg: &HostSettings, inboxes: Inboxes, disk: DiskThread) -> Self {
-        let mut links = Links::new(PART, cfg.fleet_secret.clone(), inboxes.clone());
+    pub(crate) fn new(
+        cfg: &HostSettings,
+        inboxes: Inboxes,
+        disk: DiskThread,
+        budget: Budget,
+    ) -> Self {
+        let secret = cfg.fleet_secret.clone();
+        let mut links = Links::new(
+            PART,
+            secret,
+            inboxes.clone(),
+            budget.charge().account().clone(),
+        );
         for control in &cfg.control_hosts {
             links.set_addr(control.host.clone(), control.peers);
         }
@@ -48,6 +62,7 @@
             pending_calls: HashMap::default(),
             last_call: 0,
             disk,
+            budget,
             tasks: JoinSet::new(),
             order_cfg: Rc::new(cfg.orders.clone()),
         }
@@ -65,7 +80,8 @@
                 unread,
                 from,
             } => {
-                let task = link::read_link(stream, unread, from, self.inboxes.clone());
+                let (budget, inboxes) = (self.budget.clone(), self.inboxes.clone());
+                let task = link_reader::read_link(stream, unread, from, budget, inboxes);
                 self.tasks.spawn_local(task);
                 None
             }
--- a/crates/host/tests/settings_doc.rs
+++ b/crates/host/tests/settings_doc.rs
@@ -9,7 +9,8 @@
 
 const DOCUMENT: &str = include_str!("../../../docs/SETTINGS.md");
 /// The source files that declare settings.
-const SOURCES: [&str; 9] = [
+const SOURCES: [&str; 10] = [
+    include_str!("../../budget/src/settings.rs"),
     include_str!("../src/settings.rs"),
     include_str!("../../decide/src/session.rs"),
     include_str!("../../decide/src/entry/budget.rs"),
@@ -91,6 +92,7 @@
         }],
         ..HostSettings::default()
     };
+    cfg.budget.memory_mb = Some(112);
     cfg.log.file = Some("log".into());
     cfg.listen.platform = Some("127.0.0.1:2".parse().unwrap());
     cfg.orders.address = Some("127.0.0.1:3".parse().unwrap());
--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -10,6 +10,11 @@
 /// fields around it.
 pub const MAX_FRAME_BYTES: usize = 72 << 20;
 
+/// The largest first frame of a link, in bytes: a secret and three names.
+///
+/// It is read before the sender has shown the secret, so anyone may send it.
+pub const MAX_HELLO_BYTES: usize = 4 << 10;
+
 /// The first frame on a link, by which the receiver accepts or refuses it.
 #[derive(Clone, PartialEq, Serialize, Deserialize)]
 pub struct LinkHello {
@@ -62,6 +67,13 @@
         .new_codec()
 }
 
+/// Returns the codec for the first frame of a link.
+pub fn hello_codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_HELLO_BYTES)
+        .new_codec()
+}
+
 /// Encodes a [`LinkHello`] or a [`Frame`].
 ///
 /// # Errors
--- a/crates/pg/src/caller_session.rs
+++ b/crates/pg/src/caller_session.rs
@@ -110,6 +110,8 @@
     statements: PreparedStatements,
     /// Messages of the extended query protocol since the last `Sync`.
     pending: Vec<PgWireFrontendMessage>,
+    /// Bytes of `pending`, as [`message_bytes`] counts them.
+    pending_bytes: usize,
     /// Which `ParseComplete` messages to remove from the answer of the running request.
     added_parses: AddedParses,
     tx_status: TxStatus,
@@ -126,6 +128,7 @@
         Self {
             statements: PreparedStatements::default(),
             pending: Vec::new(),
+            pending_bytes: 0,
             added_parses: AddedParses::default(),
             tx_status: TxStatus::Idle,
             position: startup.session_position,
@@ -135,6 +138,21 @@
         }
     }
 
+    /// Returns whether a batch of the extended query protocol has begun and not ended.
+    pub fn in_batch(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Returns the bytes that the session keeps: its prepared statements and its open batch.
+    pub fn kept_bytes(&self) -> usize {
+        self.pending_bytes + self.statements.kept_bytes()
+    }
+
+    fn add_to_batch(&mut self, msg: PgWireFrontendMessage) {
+        self.pending_bytes += message_bytes(&msg);
+        self.pending.push(msg);
+    }
+
     /// Handles a caller's message.
     ///
     /// # Errors
@@ -144,8 +162,9 @@
         match msg {
             PgWireFrontendMessage::Query(query) => self.on_simple_query(query),
             PgWireFrontendMessage::Sync(_) => {
-                self.pending.push(msg);
+                self.add_to_batch(msg);
                 let batch = std::mem::take(&mut self.pending);
+                self.pending_bytes = 0;
                 self.on_sync(batch)
             }
             PgWireFrontendMessage::Parse(_)
@@ -153,7 +172,7 @@
             | PgWireFrontendMessage::Describe(_)
             | PgWireFrontendMessage::Execute(_)
             | PgWireFrontendMessage::Close(_) => {
-                self.pending.push(msg);
+                self.add_to_batch(msg);
                 Ok(CallerAction::AwaitMore)
             }
             PgWireFrontendMessage::Flush(_) => {
@@ -350,6 +369,22 @@
     }
 }
 
+/// Returns about how many bytes a message of a batch takes in memory.
+fn message_bytes(msg: &PgWireFrontendMessage) -> usize {
+    let contents = match msg {
+        PgWireFrontendMessage::Parse(parse) => {
+            parse.query.len() + parse.type_oids.len() * size_of::<u32>()
+        }
+        PgWireFrontendMessage::Bind(bind) => {
+            let values = bind.parameters.iter().flatten();
+            values.map(Bytes::len).sum::<usize>()
+                + bind.parameters.len() * size_of::<Option<Bytes>>()
+        }
+        _ => 0,
+    };
+    contents + size_of::<PgWireFrontendMessage>()
+}
+
 /// Returns the answer to a message of a batch that is answered without an upstream.
 fn local_reply(msg: &PgWireFrontendMessage) -> Option<PgWireBackendMessage> {
     match msg {
--- a/crates/pg/src/codec.rs
+++ b/crates/pg/src/codec.rs
@@ -9,6 +9,8 @@
 
 /// The size of a message's header: one byte for its type and four for its length.
 const HEADER_BYTES: usize = 5;
+/// The size of a message's type, which its length does not include.
+const TYPE_BYTES: usize = 1;
 
 /// Why no further message can be read from a connection.
 #[derive(Debug, thiserror::Error)]
@@ -32,14 +34,22 @@
     Io(#[from] std::io::Error),
 }
 
+/// Returns the size in bytes that the next message states in its header, its type byte included;
+/// `None` until the header has come.
+pub fn stated_size(src: &[u8]) -> Option<usize> {
+    let length = src.get(TYPE_BYTES..HEADER_BYTES)?;
+    let length = length
+        .iter()
+        .fold(0, |sum, byte| sum << 8 | usize::from(*byte));
+    Some(TYPE_BYTES + length)
+}
+
 /// Fails if the next message states a size over the limit, before its body is buffered.
 fn check_size(src: &BytesMut, limit: usize) -> Result<(), CodecError> {
-    let Some(length) = src.get(1..HEADER_BYTES) else {
+    let Some(size) = stated_size(src) else {
         return Ok(());
     };
-    let bytes = length
-        .iter()
-        .fold(0, |sum, byte| sum << 8 | usize::from(*byte));
+    let bytes = size - TYPE_BYTES;
     if bytes > limit {
         return Err(CodecError::TooLarge { bytes, limit });
     }
@@ -80,6 +90,13 @@
         self.cx.awaiting_frontend_ssl = false;
     }
 
+    /// Returns the size in bytes of the message that `src` begins with; `None` while it is unknown.
+    pub fn message_size(&self, src: &[u8]) -> Option<usize> {
+        // The messages before the start-up message are short and have no type byte.
+        let has_type = !self.cx.awaiting_frontend_startup;
+        stated_size(src).filter(|_| has_type)
+    }
+
     /// Expects messages with a type byte from now on, since the start-up message has been read.
     pub fn startup_received(&mut self) {
         self.cx.awaiting_frontend_ssl = false;
--- a/crates/pg/src/extended_query.rs
+++ b/crates/pg/src/extended_query.rs
@@ -20,6 +20,14 @@
 #[derive(Debug, Default)]
 pub struct PreparedStatements {
     prepared: HashMap<String, PreparedStatement>,
+    /// Bytes of `prepared`, as [`entry_bytes`] counts them.
+    kept_bytes: usize,
+}
+
+/// Returns about how many bytes a prepared statement takes in memory.
+fn entry_bytes(name: &str, prepared: &PreparedStatement) -> usize {
+    let types = prepared.type_oids.len() * size_of::<u32>();
+    size_of::<(String, PreparedStatement)>() + name.len() + prepared.query.len() + types
 }
 
 #[derive(Clone, Debug)]
@@ -124,7 +132,7 @@
                     if close.target_type == STATEMENT_TARGET =>
                 {
                     let name = close.name.take().unwrap_or_default();
-                    self.prepared.remove(&name);
+                    self.remove(&name);
                     parsed = None;
                     out.push(PgWireFrontendMessage::Close(close));
                 }
@@ -144,7 +152,21 @@
             query: parse.query.clone(),
             type_oids: parse.type_oids.clone(),
         };
-        self.prepared.insert(name.to_owned(), prepared);
+        self.kept_bytes += entry_bytes(name, &prepared);
+        if let Some(before) = self.prepared.insert(name.to_owned(), prepared) {
+            self.kept_bytes -= entry_bytes(name, &before);
+        }
+    }
+
+    /// Returns the bytes of all statements.
+    pub(crate) fn kept_bytes(&self) -> usize {
+        self.kept_bytes
+    }
+
+    fn remove(&mut self, name: &str) {
+        if let Some(before) = self.prepared.remove(name) {
+            self.kept_bytes -= entry_bytes(name, &before);
+        }
     }
 
     fn class_of(&self, name: &str) -> Result<StatementClass, BatchError> {
--- a/crates/pg/src/upstream.rs
+++ b/crates/pg/src/upstream.rs
@@ -130,6 +130,15 @@
         }
     }
 
+    /// Returns the number of bytes of the request's answer that were added.
+    #[expect(
+        clippy::len_without_is_empty,
+        reason = "nobody asks whether it is empty"
+    )]
+    pub fn len(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Adds a message of the upstream; returns the answers once the last is complete.
     ///
     /// # Errors
