host: accept no more clients than are served or closed

Cause: the listeners told the oldest login, hello or call to close and went on accepting. Its descriptor stayed open until its task had run, and callers waited in the inbox of a traffic part without a bound.

Change: at most 32 callers are accepted that no part serves yet or for which another one is being closed; the accept loops of links and of HTTP wait until the connection that they closed has ended.

--- a/crates/host/src/conn_budget.rs
+++ b/crates/host/src/conn_budget.rs
@@ -7,7 +7,7 @@
 
 use budget::{Account, AccountId, Accounts, BudgetSettings, Charge, Effect, Event, Pool};
 use model::HashMap;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, mpsc, watch};
 use tokio::time::Duration;
 
 use crate::logs;
@@ -72,6 +72,8 @@
     told: Notify,
     /// Whether the caller has sent all of its login.
     login_sent: AtomicBool,
+    /// The permit of the connection in whose favour this one is closed.
+    permit: OnceLock<OwnedSemaphorePermit>,
 }
 
 impl Closing {
@@ -81,6 +83,12 @@
         self.told.notify_one();
     }
 
+    /// Tells the task to end, and gives the permit back only once it has ended.
+    pub(crate) fn close_in_favour_of(&self, reason: CloseReason, permit: OwnedSemaphorePermit) {
+        let _ = self.permit.set(permit);
+        self.close(reason);
+    }
+
     /// Notes that the caller has sent all of its login.
     pub(crate) fn note_login_sent(&self) {
         self.login_sent.store(true, Ordering::Relaxed);
--- a/crates/host/src/http_listener.rs
+++ b/crates/host/src/http_listener.rs
@@ -49,6 +49,8 @@
         served.retain(|served| !served.task.is_finished());
         if served.len() >= budget.cfg().max_calls {
             close_oldest(&mut served, &budget);
+            // Its descriptor is open until its task has ended.
+            while tasks.len() >= budget.cfg().max_calls && tasks.join_next().await.is_some() {}
         }
         let in_call = Arc::new(AtomicBool::new(false));
         let task = tasks.spawn(serve_one(
--- a/crates/host/src/inbox.rs
+++ b/crates/host/src/inbox.rs
@@ -7,7 +7,7 @@
 use decide::call::{Call, Reply};
 use decide::{Effect, Event};
 use model::{HostId, PartAddr, PartId};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::task::JoinSet;
 
 /// An item in a part's inbox.
@@ -16,7 +16,9 @@
     /// An event for the reducer.
     Event(Event),
     /// A caller has connected; for traffic parts.
-    CallerConnected(std::net::TcpStream),
+    ///
+    /// The permit lets the listener accept another one, once this one is served.
+    CallerConnected(std::net::TcpStream, OwnedSemaphorePermit),
     /// A part of another host has opened a link and has passed the check of its hello.
     PeerConnected {
         /// The connection, to be read from here on.
--- a/crates/host/src/listen.rs
+++ b/crates/host/src/listen.rs
@@ -1,13 +1,14 @@
 //! Accepts callers and other hosts, and passes each connection to the part that serves it.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use model::{CONTROL_PART, FIRST_TRAFFIC_PART, PartId};
 use peer::frame::{FRAME_VERSION, LinkHello};
 use subtle::ConstantTimeEq;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::task::{AbortHandle, JoinSet};
 
 use crate::conn_budget::{Budget, CloseReason};
@@ -20,6 +21,13 @@
 /// Pause after a failed accept, such as when the process has no file descriptors left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Maximum number of callers that were accepted and that no traffic part has started to serve, or
+/// in whose place another one is being closed.
+///
+/// Further ones wait in the system's queue: it is this thread that accepts, and without a bound it
+/// would take all descriptors while the traffic threads are busy.
+const MAX_NOT_STARTED: usize = 32;
+
 /// Accepts callers until the host stops, and assigns them to the traffic parts in turn.
 pub(crate) async fn accept_callers(
     listener: TcpListener,
@@ -27,11 +35,18 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let mut turn = 0;
+    let not_started = Arc::new(Semaphore::new(MAX_NOT_STARTED));
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let accept = async {
+            let permit = not_started.clone().acquire_owned().await;
+            (listener.accept().await, permit)
+        };
+        let (accepted, permit) = tokio::select! {
+            accepted = accept => accepted,
             _ = stop.wait_for(|stop| *stop) => return,
         };
+        // The semaphore is never closed.
+        let Ok(permit) = permit else { return };
         let Some(stream) = accepted.ok().and_then(|(stream, _)| stream.into_std().ok()) else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
@@ -39,7 +54,7 @@
         let _ = stream.set_nodelay(true);
         let part = FIRST_TRAFFIC_PART + turn % (inboxes.part_count() - 1);
         turn = turn.wrapping_add(1);
-        inboxes.send(part, Input::CallerConnected(stream));
+        inboxes.send(part, Input::CallerConnected(stream, permit));
     }
 }
 
@@ -69,6 +84,8 @@
         {
             oldest.abort();
             budget.note_closed(CloseReason::ConnectionsFull, 0);
+            // Its descriptor is open until its task has ended.
+            while hellos.len() >= budget.cfg().max_hellos && hellos.join_next().await.is_some() {}
         }
         let (inboxes, secret) = (inboxes.clone(), secret.clone());
         let hello = hellos.spawn(async move {
--- a/crates/host/src/thread_control.rs
+++ b/crates/host/src/thread_control.rs
@@ -92,7 +92,7 @@
                 self.pending_calls.insert(id, reply);
                 Some(Event::Call { id, call })
             }
-            Input::CallerConnected(_) => None,
+            Input::CallerConnected(..) => None,
         }
     }
 
--- a/crates/host/src/thread_traffic.rs
+++ b/crates/host/src/thread_traffic.rs
@@ -11,7 +11,7 @@
 use decide::{Effect, Event, View};
 use model::{ConnId, HashMap, PartId, SessionId};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
 use tokio::task::JoinSet;
 
 use crate::adapter::{Adapter, CallerChannel, RunJob, ToCaller, UpstreamTarget};
@@ -80,7 +80,7 @@
     }
 
     /// Serves a new caller in a task of its own, unless the thread has too many.
-    fn start_session(&mut self, stream: std::net::TcpStream) {
+    fn start_session(&mut self, stream: std::net::TcpStream, permit: OwnedSemaphorePermit) {
         if self.caller_senders.len() >= self.max_callers {
             if logs::may_write(121) {
                 log::warn!("event=121 caller-refused reason=too-many-connections");
@@ -95,7 +95,7 @@
         if self.logins.len() >= self.caller_cfg.max_logins
             && let Some((_, closing)) = self.logins.pop_first()
         {
-            closing.close(CloseReason::LoginsFull);
+            closing.close_in_favour_of(CloseReason::LoginsFull, permit);
         }
         self.last_session += 1;
         let session = self.last_session;
@@ -189,8 +189,8 @@
                 }
                 Some(event)
             }
-            Input::CallerConnected(stream) => {
-                self.start_session(stream);
+            Input::CallerConnected(stream, permit) => {
+                self.start_session(stream, permit);
                 None
             }
             Input::PeerConnected {
