host: finish the call in progress when an HTTP connection's time is over

Change: a connection whose time is over is closed once its call has ended, and after budget.call_timeout at the latest.

No test holds a call at that moment.

--- a/crates/host/src/http_listener.rs
+++ b/crates/host/src/http_listener.rs
@@ -16,6 +16,9 @@
 /// Pause after a failed accept, such as when the process has no file descriptors left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How often a connection whose time is over is checked for the end of its call.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// A connection that is served.
 struct Served {
     task: AbortHandle,
@@ -23,7 +26,8 @@
     in_call: Arc<AtomicBool>,
 }
 
-/// Serves each accepted connection with `handle`, for `lifetime` at most, until the host stops.
+/// Serves each accepted connection with `handle` until the host stops: for `lifetime`, or until the
+/// end of the call that is then in progress.
 pub async fn serve<F, H>(
     listener: TcpListener,
     budget: Budget,
@@ -88,11 +92,21 @@
     H: Fn(MeteredIo) -> F,
 {
     let conn = budget.open();
-    let serving = handle(MeteredIo::new(stream, &conn, in_call));
+    let serving = handle(MeteredIo::new(stream, &conn, in_call.clone()));
+    let call_timeout = budget.cfg().call_timeout;
     async move {
+        let over = async {
+            tokio::time::sleep(lifetime).await;
+            let idle = async {
+                while in_call.load(Ordering::Relaxed) {
+                    tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
+                }
+            };
+            let _ = tokio::time::timeout(call_timeout, idle).await;
+        };
         tokio::select! {
             () = serving => {}
-            () = tokio::time::sleep(lifetime) => {}
+            () = over => {}
             reason = conn.closed() => conn.note_closed(reason),
         }
     }
--- a/crates/host/src/rpc.rs
+++ b/crates/host/src/rpc.rs
@@ -18,7 +18,7 @@
 
 /// Largest body of a call in bytes; a patch of a thousand changes is below it.
 const MAX_CALL_BYTES: u32 = 4 << 20;
-/// Longest time that a connection is kept, busy or not.
+/// How long a connection is kept, and the call in progress then is finished.
 const CONNECTION_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Serves the API until the host stops.
