host: count routed attempts by the reason for the choice

Cause: the reason for which a read goes to an upstream is only in the log, which leaves out lines under load.

Change: the metric caraway_routed_total, by reason, from a list beside the policies in decide::route.

--- a/crates/carawayd/tests/metrics.rs
+++ b/crates/carawayd/tests/metrics.rs
@@ -94,6 +94,7 @@
     assert_eq!(metric(addr, "caraway_leaving").await, Some(0));
     let at_least = [
         ("caraway_pooled_connections", 1),
+        ("caraway_routed_total{reason=\"write\"}", 1),
         (
             "caraway_upstream_queries_total{kind=\"statement\"}",
             by_replicas + by_primary + 1,
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -21,6 +21,19 @@
 /// and 1 s left more reads to a slow upstream, of which its owners may forward only a share.
 const AVOID_LOADED_FOR: Duration = Duration::from_secs(3);
 
+/// The reasons for which an attempt is sent to an upstream, as in event 100.
+pub const ROUTE_REASONS: [&str; 9] = [
+    "pinned",
+    "write",
+    "no-floor",
+    "replicas-behind",
+    "near-replica",
+    "replica",
+    "no-replica",
+    "primary-only",
+    "others-loaded",
+];
+
 /// Chooses the upstream for a read.
 pub trait ReadPolicy: Default {
     /// Returns one of the usable upstreams, with the reason for the log.
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -1,6 +1,7 @@
 //! The metrics of a host, as atomics that every thread can update without a lock.
 
 use decide::conn::LossReason;
+use decide::route::ROUTE_REASONS;
 use decide::upstream_query::UpstreamQuery;
 use model::{HashMap, Kind, Refusal, Role, Verdict};
 use prometheus_client::encoding::text::encode;
@@ -63,6 +64,7 @@
     refusals: Counters<2>,
     queries: Counters<1>,
     lost_connections: Counters<1>,
+    routed: Counters<1>,
     /// The number of sessions of callers, counted from their login.
     pub(crate) sessions: Gauge,
     /// The number of open pooled connections.
@@ -97,6 +99,9 @@
         let lost_connections = Family::default();
         let help = "Pooled connections that became unusable, by reason";
         registry.register("lost_connections", help, lost_connections.clone());
+        let routed = Family::default();
+        let help = "Attempts sent to an owner, by the reason for the choice of the upstream";
+        registry.register("routed", help, routed.clone());
         let links_down = Counter::default();
         let help = "Broken links to other hosts, counted by each thread that learns of it";
         registry.register("links_down", help, links_down.clone());
@@ -130,6 +135,7 @@
                 &lost_connections,
                 LossReason::all().map(loss_label),
             ),
+            routed: look_up_counters(&routed, ROUTE_REASONS.map(route_label)),
             registry,
         }
     }
@@ -170,6 +176,11 @@
         increment(&self.lost_connections, &loss_label(reason));
     }
 
+    /// Counts an attempt of a request that is sent to an owner.
+    pub(crate) fn count_routed(&self, reason: &'static str) {
+        increment(&self.routed, &route_label(reason));
+    }
+
     /// Returns whether the host can serve callers: its configuration is usable and it isn't leaving.
     pub(crate) fn is_ready(&self) -> bool {
         self.config_usable.get() == 1 && self.leaving.get() == 0
@@ -204,6 +215,10 @@
     [("reason", reason.as_str())]
 }
 
+fn route_label(reason: &'static str) -> [Label; 1] {
+    [("reason", reason)]
+}
+
 fn query_label(kind: &'static str) -> [Label; 1] {
     [("kind", kind)]
 }
--- a/crates/host/src/metrics_recorder.rs
+++ b/crates/host/src/metrics_recorder.rs
@@ -75,8 +75,14 @@
                 self.metrics.count_refusal(RefusalScope::Session, *refusal)
             }
             Effect::Log(LogEvent::Session(SessionLogEvent::Routed {
-                session, upstream, ..
-            })) => self.on_routed(*session, upstream),
+                session,
+                upstream,
+                reason,
+                ..
+            })) => {
+                self.metrics.count_routed(reason);
+                self.on_routed(*session, upstream);
+            }
             Effect::OpenConn { conn, .. } => {
                 self.opening.insert(*conn);
             }
