decide: list the siblings of an instance in a function of its own

Cause: the function that forwards a read also collects its siblings.

Change: live_siblings; no change in behaviour.

--- a/crates/decide/src/owner/forward.rs
+++ b/crates/decide/src/owner/forward.rs
@@ -17,6 +17,7 @@
 use crate::placement::{preferred_owner, traffic_part};
 use crate::queue::{QueueDiscipline, RequestQueue};
 use crate::relay::{Bounce, ForwardedRead, RelayMsg, RunRequest};
+use crate::view::UpstreamView;
 use crate::{Cx, View};
 
 /// The loads of sibling instances, and the reads that were forwarded to them.
@@ -81,27 +82,16 @@
         let Some(own) = self.upstreams.get(&run.upstream) else {
             return false;
         };
-        let Some(service) = view.services.get(&own.service).filter(|_| own.owned) else {
+        if !own.owned {
             return false;
-        };
-        let primary = service.primary.as_ref().map(|(_, primary)| primary);
-        let others = service.upstreams.iter().filter(|id| **id != own.id);
-        let others = others.filter_map(|id| view.upstreams.get_key_value(id));
-        let usable = others.filter(|(id, up)| !up.announcement.draining || primary == Some(*id));
-        let live: Vec<(&UpstreamId, Vec<&HostId>, bool)> = usable
-            .map(|(id, up)| {
-                let owners = up.owners.iter();
-                let owners = owners.filter(|host| view.hosts.contains_key(*host));
-                let near = up.announcement.data_centre == cx.me.data_centre;
-                (id, owners.collect(), near)
-            })
-            .collect();
+        }
+        let live = live_siblings(view, own);
         let siblings: Vec<Sibling<'_>> = live
             .iter()
-            .map(|(upstream, owners, near)| Sibling {
-                upstream,
+            .map(|(up, owners)| Sibling {
+                upstream: &up.announcement.upstream,
                 owners,
-                near: *near,
+                near: up.announcement.data_centre == cx.me.data_centre,
             })
             .collect();
         let load = own.load(cx.now);
@@ -109,9 +99,9 @@
         let Some(choice) = forwarder.choose(cx.now, cfg, &own.id, load, &siblings) else {
             return false;
         };
-        let owners = live.iter().find(|(id, ..)| **id == choice.upstream);
-        let owners = owners.into_iter().flat_map(|(_, owners, _)| owners.iter());
-        let owner = preferred_owner(&choice.upstream, &run.req.workspace, owners.copied());
+        let chosen = siblings.iter().find(|to| *to.upstream == choice.upstream);
+        let owners = chosen.into_iter().flat_map(|to| to.owners).copied();
+        let owner = preferred_owner(&choice.upstream, &run.req.workspace, owners);
         let Some(host) = owner.and_then(|owner| view.hosts.get(owner)) else {
             return false;
         };
@@ -280,6 +270,30 @@
         && req.repeatable
 }
 
+/// Returns the other instances of a service that take reads, each with its live owners.
+///
+/// A draining replica gets no reads; a draining primary keeps its work until it is replaced.
+fn live_siblings<'a, Q: QueueDiscipline, W: WaitPolicy>(
+    view: &'a View,
+    own: &Upstream<Q, W>,
+) -> Vec<(&'a UpstreamView, Vec<&'a HostId>)> {
+    let Some(service) = view.services.get(&own.service) else {
+        return Vec::new();
+    };
+    let primary = service.primary.as_ref().map(|(_, primary)| primary);
+    let others = service.upstreams.iter().filter(|id| **id != own.id);
+    let takes_reads = |up: &&UpstreamView| {
+        !up.announcement.draining || primary == Some(&up.announcement.upstream)
+    };
+    let others = others.filter_map(|id| view.upstreams.get(id));
+    let with_owners = others.filter(takes_reads).map(|up| {
+        let live = up.owners.iter();
+        let live = live.filter(|host| view.hosts.contains_key(*host));
+        (up, live.collect())
+    });
+    with_owners.collect()
+}
+
 /// Returns the parts of the other owners of an instance's service.
 fn other_owners<Q: QueueDiscipline, W: WaitPolicy>(
     me: &HostInfo,
