--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use budget::Pool;
 use decide::conn::LossReason;
+use decide::route::ROUTE_REASONS;
 use decide::upstream_query::UpstreamQuery;
 use model::{HashMap, Kind, Refusal, Role, Verdict};
 use prometheus_client::encoding::text::encode;
@@ -72,6 +73,7 @@
     /// The byte budget of the process, and the gauge that shows its use.
     pool: Arc<Pool>,
     buffered_bytes: Gauge,
+    routed: Counters<1>,
     /// The number of sessions of callers, counted from their login.
     pub(crate) sessions: Gauge,
     /// The number of open pooled connections.
@@ -113,6 +115,9 @@
         let closed_clients = Family::default();
         let help = "Connections of clients that the host has closed, by reason";
         registry.register("closed_clients", help, closed_clients.clone());
+        let routed = Family::default();
+        let help = "Attempts sent to an owner, by the reason for the choice of the upstream";
+        registry.register("routed", help, routed.clone());
         let links_down = Counter::default();
         let help = "Broken links to other hosts, counted by each thread that learns of it";
         registry.register("links_down", help, links_down.clone());
@@ -165,6 +170,7 @@
                 &lost_connections,
                 LossReason::all().map(loss_label),
             ),
+            routed: look_up_counters(&routed, ROUTE_REASONS.map(route_label)),
             registry,
         }
     }
@@ -210,6 +216,11 @@
         increment(&self.closed_clients, &[("reason", reason.as_str())]);
     }
 
+    /// Counts an attempt of a request that is sent to an owner.
+    pub(crate) fn count_routed(&self, reason: &'static str) {
+        increment(&self.routed, &route_label(reason));
+    }
+
     /// Returns whether the host can serve callers: its configuration is usable and it isn't leaving.
     pub(crate) fn is_ready(&self) -> bool {
         self.config_usable.get() == 1 && self.leaving.get() == 0
@@ -246,6 +257,10 @@
     [("reason", reason.as_str())]
 }
 
+fn route_label(reason: &'static str) -> [Label; 1] {
+    [("reason", reason)]
+}
+
 fn query_label(kind: &'static str) -> [Label; 1] {
     [("kind", kind)]
 }
