carawayd tests: a caller that stops in a message is closed, an idle one is not

The crowds show memory and descriptors, not that caller.stall_timeout ends a single stopped caller, nor that it leaves idle sessions alone.

Trial with the limit at 10 min in the test's settings, which stands for the code before: failed, the connection stays open for 20 s.

--- a/crates/carawayd/tests/misbehaving.rs
+++ b/crates/carawayd/tests/misbehaving.rs
@@ -32,8 +32,12 @@
 
 impl Setup {
     async fn start() -> Self {
+        Self::start_with(LIMITS).await
+    }
+
+    async fn start_with(limits: &str) -> Self {
         let alone = ONE_AT_A_TIME.lock().await;
-        let mut fleet = Fleet::start(&[plan("both-1", "spn", true, true)], LIMITS);
+        let mut fleet = Fleet::start(&[plan("both-1", "spn", true, true)], limits);
         fleet.start_group(["spn"; 3], "");
         configure(&fleet).await;
         Self {
@@ -219,3 +223,23 @@
     }
     setup.check(sessions).await;
 }
+
+/// Guards against callers that stop in the middle of a message and keep their connection for ever,
+/// and against a limit that ends idle sessions.
+#[tokio::test]
+async fn a_caller_that_stops_in_a_message_is_closed_and_an_idle_one_is_not() {
+    let mut setup = Setup::start_with("[caller]\nstall_timeout = \"1s\"\n").await;
+    let mut sessions = log_in(setup.callers(), 2).await;
+    let (mut stopped, mut idle) = (sessions.remove(0), sessions.remove(0));
+    let unfinished = message(b'Q', b"SELECT 1", 10);
+    stopped.write_all(&unfinished).await.unwrap();
+    let mut answer = Vec::new();
+    let closed = tokio::time::timeout(WAIT_TIMEOUT, stopped.read_to_end(&mut answer)).await;
+    assert!(closed.is_ok(), "the connection stays open");
+    let query = message(b'Q', b"SELECT 1\0", 0);
+    idle.write_all(&query).await.unwrap();
+    while !answer.ends_with(b"Z\0\0\0\x05I") {
+        assert_ne!(idle.read_buf(&mut answer).await.unwrap(), 0);
+    }
+    setup.check(vec![idle]).await;
+}
