--- a/crates/decide/src/owner/primary_position.rs
+++ b/crates/decide/src/owner/primary_position.rs
@@ -163,7 +163,8 @@
             addr: primary.announcement.addr,
             query: UpstreamQuery::Status { wait_for: None },
             new_connection: false,
-            alone: view.is_evacuated(id),
+            // A host that has just started may not know yet of an evacuation.
+            alone: view.is_evacuated(id) || !view.config_usable,
             timeout: QUERY_TIMEOUT,
         });
     }
