Rejected hedges and pauses: leave the other attempt to answer

A bounce that refuses one attempt of a hedged read no longer ends the read while the other attempt runs. A request whose route states no objective is neither refused early nor ranked by it. An owner that did not run for some seconds sends back what waits on each event, not only on new requests.

--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -339,6 +339,12 @@
                 return self.send_or_park(cx, view, sessions, pending);
             }
             Bounce::Refused(refusal) => {
+                if let Some((earlier, target)) = pending.earlier_attempt.take() {
+                    // The first attempt of a hedged read may still be answered.
+                    pending.last_refusal = refusal;
+                    pending.target = Some(target);
+                    return self.requests.insert(earlier, pending);
+                }
                 return answer_without_result(cx, sessions, pending, Verdict::NotRun(refusal));
             }
             Bounce::Behind => {
--- a/crates/decide/src/entry/token_wait.rs
+++ b/crates/decide/src/entry/token_wait.rs
@@ -67,7 +67,7 @@
     let refuse_at_once = cx.settings.room.refuse_over_rate;
     let session = sessions.get(pending.session);
     let rules = session.and_then(|session| session.route_rules.as_ref());
-    let bound = rules.filter(|_| refuse_at_once);
+    let bound = rules.filter(|rules| refuse_at_once && !rules.objective.is_zero());
     TokenWait {
         waited: cx.now.duration_since(pending.received_at),
         bound: bound.map_or(Duration::MAX, |rules| rules.objective / OBJECTIVE_DIVISOR),
--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -116,6 +116,7 @@
     /// Updates addresses, liveness, ownership and primaries from a new view, and drops upstreams
     /// that are gone once they are drained.
     pub fn on_view(&mut self, cx: &mut Cx<'_>, view: &View) {
+        self.hold_after_pause(cx);
         for (id, seen) in &view.upstreams {
             let upstream = self
                 .upstreams
@@ -152,6 +153,7 @@
 
     /// Applies a probe result: the upstream's status and this host's claim on it.
     pub fn on_probed(&mut self, cx: &mut Cx<'_>, probed: ProbeResult) {
+        self.hold_after_pause(cx);
         if let Some(upstream) = self.upstreams.get_mut(&probed.upstream) {
             upstream.on_probed(cx, probed);
             upstream.abandon_if_unreachable(cx, &mut self.shared);
@@ -210,6 +212,7 @@
         upstream: &UpstreamId,
         pin: ConnId,
     ) {
+        self.hold_after_pause(cx);
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
             upstream.on_unpin(cx, &mut self.shared, from, pin);
             upstream.reconcile(cx, &mut self.shared);
@@ -253,6 +256,7 @@
     /// Drops the queued requests, the answers held back and the idle transactions of an entry host
     /// whose link is down.
     pub fn on_link_down(&mut self, cx: &mut Cx<'_>, host: &HostId) {
+        self.hold_after_pause(cx);
         self.forwards.on_link_down(cx, host);
         self.shared.unconfirmed.drop_for_host(host);
         self.shared.held_acks.drop_for_host(host);
@@ -407,6 +411,7 @@
 fn objective_at(view: &View, req: &Request, deadline: Instant) -> Instant {
     let access = req.access.as_ref();
     let route = access.and_then(|access| view.config.routes.get(&access.route));
+    let route = route.filter(|route| !route.objective.is_zero());
     let left = route.map(|route| route.timeout.saturating_sub(route.objective));
     left.and_then(|left| deadline.checked_sub(left))
         .unwrap_or(deadline)
