authority: a leader starts only once it has handled all applied entries

A new leader took over the orders of earlier ones in the step in which it applied its first entry. Orders that were applied in the same step reached the authority after that, so they were never in doubt, and a late one could promote an instance without the commits acknowledged meanwhile.

--- a/crates/decide/src/authority.rs
+++ b/crates/decide/src/authority.rs
@@ -164,6 +164,11 @@
         self.stop_numbers.set_leader_term(term);
     }
 
+    /// Returns whether this host supervises the primaries.
+    pub fn is_leader(&self) -> bool {
+        self.is_leader
+    }
+
     /// Records whether this host is the consensus leader; each change abandons all attempts, and a
     /// new leader takes over the orders of earlier ones.
     pub fn set_leader(&mut self, cx: &mut Cx<'_>, is_leader: bool) {
--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -13,7 +13,7 @@
 use crate::call::{Call, Reply};
 use crate::grant::ReserveSite;
 use crate::group::{GroupMsg, Groups};
-use crate::raft::{EntryData, PersistentState, Raft, RaftMsg};
+use crate::raft::{EntryData, LogIndex, PersistentState, Raft, RaftMsg};
 use crate::replicated_state::Committed;
 use crate::replicated_state::control_client::ControlClient;
 use crate::spread::{Seed, Spread};
@@ -31,6 +31,8 @@
     authority: QuorumAuthority,
     /// Consensus; `None` unless this is a control host.
     raft: Option<Raft>,
+    /// Index of the last log entry whose results the features of this part have handled.
+    handled_entries: LogIndex,
     /// Forwards calls about the control state to the leader of consensus.
     control_client: ControlClient,
     /// Distributes the tokens of workspaces' rates over the hosts and their traffic parts.
@@ -55,6 +57,7 @@
             groups: Groups::new(),
             authority: QuorumAuthority::default(),
             raft,
+            handled_entries: 0,
             control_client,
             tokens: TokenControl::new(voters),
         }
@@ -119,12 +122,19 @@
 
     /// Tells the authority whether this host leads, and proposes its promotion orders to the log:
     /// the index of a committed order is its number.
+    ///
+    /// A new leader starts only once it has handled the results of all entries that it has applied:
+    /// the orders of earlier leaders may be applied in the same step as the entry by which it knows
+    /// that it has caught up.
     fn sync_authority_with_raft(&mut self, cx: &mut Cx<'_>) {
         let Some(raft) = &mut self.raft else {
             return;
         };
         self.authority.set_consensus_term(raft.term());
-        self.authority.set_leader(cx, raft.is_caught_up_leader());
+        let has_handled_all =
+            self.authority.is_leader() || self.handled_entries >= raft.last_applied();
+        let is_leader = raft.is_caught_up_leader() && has_handled_all;
+        self.authority.set_leader(cx, is_leader);
         for ticket in self.authority.take_tickets() {
             raft.propose(cx, EntryData::PromotionOrder(ticket));
         }
@@ -217,6 +227,7 @@
             Committed::Evacuations(evacuations) => {
                 self.spread.on_evacuations_committed(cx, evacuations);
             }
+            Committed::EntriesApplied(index) => self.handled_entries = index,
             Committed::ShareIndexes(indexes) => self.tokens.on_share_indexes(cx, &indexes),
             Committed::ConfigConfirmed { version, at } => {
                 self.tokens.on_confirmed(cx, self.raft.as_ref(), at);
--- a/crates/decide/src/raft.rs
+++ b/crates/decide/src/raft.rs
@@ -282,6 +282,11 @@
         matches!(&self.role, RaftRole::Leader(leader) if self.last_applied >= leader.noop_index)
     }
 
+    /// Returns the index of the last entry that this member has applied.
+    pub fn last_applied(&self) -> LogIndex {
+        self.last_applied
+    }
+
     /// Returns the highest consensus term that this member knows.
     pub fn term(&self) -> RaftTerm {
         self.hard_state.term
--- a/crates/decide/src/raft/append.rs
+++ b/crates/decide/src/raft/append.rs
@@ -206,6 +206,7 @@
         self.commit_index = self.commit_index.max(index);
         let before = self.replicated_state.config().version;
         let evacuations_before = self.replicated_state.evacuations().version;
+        let applied_before = self.last_applied;
         while self.last_applied < self.commit_index {
             self.apply_next_entry(cx);
         }
@@ -216,6 +217,10 @@
             let config = self.replicated_state.config().clone();
             cx.raise(Event::Committed(Committed::Config(config)));
         }
+        if self.last_applied != applied_before {
+            let applied = Committed::EntriesApplied(self.last_applied);
+            cx.raise(Event::Committed(applied));
+        }
         self.answer_confirmed_reads(cx);
         self.compact_log(cx);
     }
--- a/crates/decide/src/replicated_state.rs
+++ b/crates/decide/src/replicated_state.rs
@@ -47,6 +47,8 @@
     },
     /// A new set of evacuated data centres is committed.
     Evacuations(Evacuations),
+    /// The results of all entries up to this index have been raised.
+    EntriesApplied(LogIndex),
 }
 
 /// A committed patch and its outcome.
--- a/crates/decide/tests/raft/invariants.rs
+++ b/crates/decide/tests/raft/invariants.rs
@@ -30,7 +30,9 @@
     pub(crate) fn check_committed(&mut self, name: &str, committed: Committed) {
         let host = self.hosts.get_mut(name).unwrap();
         match committed {
-            Committed::ShareIndexes(_) | Committed::PromotionOrder { .. } => {}
+            Committed::ShareIndexes(_)
+            | Committed::PromotionOrder { .. }
+            | Committed::EntriesApplied(_) => {}
             Committed::Evacuations(evacuations) => {
                 let version = evacuations.version;
                 let first = self.committed_evacuations.entry(version);
