authority: wait for the lease of a leaving host, and for a host's history

A host that was shutting down and is gone may only be cut off, and then goes on under its lease; it was not waited for. A control host that has just started doesn't know which hosts went before, but counted that as none. The test of a replica that ends after its order now runs for longer before it, as the leader must have seen the hosts for that time.

--- a/crates/decide/src/authority/ack_parts.rs
+++ b/crates/decide/src/authority/ack_parts.rs
@@ -15,17 +15,17 @@
 struct HostParts {
     incarnation: Incarnation,
     traffic_parts: u16,
-    /// Whether the host is shutting down and has said so.
-    leaving: bool,
 }
 
 /// The traffic parts of all entry hosts.
 #[derive(Debug, Default)]
 pub(crate) struct TrafficParts {
     hosts: BTreeMap<HostId, HostParts>,
-    /// Until when a host that has gone without notice may hold a lease to pass on acknowledgements.
+    /// Until when a host that has gone may hold a lease to pass on acknowledgements: also one that
+    /// was shutting down may only be cut off.
     gone_hosts_until: Option<Instant>,
-    /// When a host last went or restarted, so that it doesn't tell any more what it has passed on.
+    /// When a host last went or restarted, so that it doesn't tell any more what it has passed on,
+    /// or since when this table has been kept.
     last_gone_at: Option<Instant>,
     /// Revision of the hosts in the view that the table was compared with last, if it has one.
     revision: Option<u64>,
@@ -55,21 +55,20 @@
             return change;
         }
         self.revision = view.hosts_revision;
-        let mut any_gone_without_notice = false;
+        let mut any_gone = false;
         self.hosts.retain(|host, known| {
             let current = view.hosts.get(host).and_then(parts_of);
-            any_gone_without_notice |= current.is_none() && !known.leaving;
-            let lasts = current.is_some_and(|current| current.is_same_run(known));
-            match current.filter(|_| lasts) {
-                Some(current) => *known = current,
-                None => change.gone.push((host.clone(), known.traffic_parts)),
+            any_gone |= current.is_none();
+            let lasts = current == Some(*known);
+            if !lasts {
+                change.gone.push((host.clone(), known.traffic_parts));
             }
             lasts
         });
-        if !change.gone.is_empty() {
+        if !change.gone.is_empty() || self.last_gone_at.is_none() {
             self.last_gone_at = Some(now);
         }
-        if let Some(time) = lease_time.filter(|_| any_gone_without_notice) {
+        if let Some(time) = lease_time.filter(|_| any_gone) {
             self.gone_hosts_until = Some(now + time);
         }
         for (host, info) in &view.hosts {
@@ -83,12 +82,12 @@
         change
     }
 
-    /// Returns until when a host that has gone without notice may pass on acknowledgements.
+    /// Returns until when a host that has gone may pass on acknowledgements.
     pub(crate) fn gone_hosts_until(&self) -> Option<Instant> {
         self.gone_hosts_until
     }
 
-    /// Returns when a host last went or restarted.
+    /// Returns when a host last went or restarted; hosts may have done so before the table was kept.
     pub(crate) fn last_gone_at(&self) -> Option<Instant> {
         self.last_gone_at
     }
@@ -121,12 +120,5 @@
     info.is_entry_host.then_some(HostParts {
         incarnation: info.incarnation,
         traffic_parts: info.traffic_parts,
-        leaving: info.leaving,
     })
 }
-
-impl HostParts {
-    fn is_same_run(&self, other: &Self) -> bool {
-        (self.incarnation, self.traffic_parts) == (other.incarnation, other.traffic_parts)
-    }
-}
--- a/crates/decide/src/authority/ack_stop.rs
+++ b/crates/decide/src/authority/ack_stop.rs
@@ -72,7 +72,7 @@
     /// By when no host passes on an acknowledgement that the stop applies to, whether or not the
     /// stop has reached it; `None` if hosts need no lease.
     leases_end_at: Option<Instant>,
-    /// Until when hosts that have gone without notice may hold a lease.
+    /// Until when hosts that have gone may hold a lease.
     gone_hosts_until: Option<Instant>,
     /// When a host last went or restarted, whose answer doesn't tell what it had passed on before.
     last_host_gone_at: Option<Instant>,
--- a/crates/decide/tests/authority_orders.rs
+++ b/crates/decide/tests/authority_orders.rs
@@ -97,7 +97,8 @@
     let mut world = World::new();
     world.settings.group.ack_lease = Some(Duration::from_secs(2));
     world.settings.spread.revoke_within = Some(Duration::from_secs(5));
-    world.run(Duration::from_secs(4));
+    // A host that went before this one started may have passed on what no other knows of.
+    world.run(Duration::from_secs(30));
     world.carries_out_accepted = false;
     world.instances.get_mut("a").unwrap().cut_off();
     while world.orders.is_empty() {
@@ -144,3 +145,22 @@
     assert!(!acks_are_stopped(&mut world));
     assert!(world.none_is_fenced());
 }
+
+/// Guards against a lost commit: a host that was shutting down and was then cut off could pass on
+/// acknowledgements under its lease, which was not waited for.
+#[test]
+fn no_replica_is_fenced_while_a_leaving_host_that_has_gone_may_hold_a_lease() {
+    let mut world = World::new();
+    world.settings.group.ack_lease = Some(Duration::from_secs(2));
+    world.me.leaving = true;
+    world.has_silent_entry_host = true;
+    world.announce(&["a", "b", "c"]);
+    world.run(Duration::from_secs(4));
+    world.instances.get_mut("a").unwrap().cut_off();
+    world.has_silent_entry_host = false;
+    world.announce(&["a", "b", "c"]);
+    world.run(Duration::from_millis(1_900));
+    assert!(world.none_is_fenced() && world.orders.is_empty());
+    world.run(Duration::from_secs(2));
+    assert_eq!(world.orders.len(), 1);
+}
