--- a/crates/evac/src/order.rs
+++ b/crates/evac/src/order.rs
@@ -108,7 +108,15 @@
 pub struct OrderRecord {
     evacuations: Evacuations,
     /// The last orders, from the oldest to the newest.
-    recorded: VecDeque<OrderId>,
+    recorded: VecDeque<AppliedOrder>,
+}
+
+/// An order that was committed, applied or not.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct AppliedOrder {
+    id: OrderId,
+    /// Whether it was refused, since too many data centres were evacuated.
+    is_refused: bool,
 }
 
 impl OrderRecord {
@@ -133,15 +141,28 @@
     /// A copy of a recorded order changes nothing: it may have been delayed until after an order
     /// to the contrary.
     pub fn apply(&mut self, recorded: &RecordedOrder) -> OrderOutcome {
-        if self.recorded.contains(&recorded.id) {
-            return OrderOutcome::Unchanged;
+        let earlier = self.recorded.iter().find(|order| order.id == recorded.id);
+        if let Some(earlier) = earlier {
+            return if earlier.is_refused {
+                OrderOutcome::TooMany
+            } else {
+                OrderOutcome::Unchanged
+            };
         }
-        self.recorded.push_back(recorded.id.clone());
+        let outcome = self.apply_new(&recorded.order);
+        self.recorded.push_back(AppliedOrder {
+            id: recorded.id.clone(),
+            is_refused: outcome == OrderOutcome::TooMany,
+        });
         if self.recorded.len() > RECORDED_ORDERS_MAX {
             self.recorded.pop_front();
         }
+        outcome
+    }
+
+    fn apply_new(&mut self, order: &Order) -> OrderOutcome {
         let data_centres = &mut self.evacuations.data_centres;
-        let changed = match &recorded.order {
+        let changed = match order {
             Order::Evacuate(name) if data_centres.contains(name) => false,
             Order::Evacuate(_) if data_centres.len() >= EVACUATED_MAX => {
                 return OrderOutcome::TooMany;
--- a/crates/evac/tests/evacuations.rs
+++ b/crates/evac/tests/evacuations.rs
@@ -53,6 +53,21 @@
     assert!(record.evacuations().data_centres.len() < 1_000);
 }
 
+/// Guards against an operator who is told that a refused order is in force, because the call was
+/// sent again after its answer was lost.
+#[test]
+fn a_copy_of_a_refused_order_is_refused_too() {
+    let mut record = OrderRecord::new();
+    for nth in 0..10_000 {
+        let order = recorded(nth, Order::Evacuate(format!("dc-{nth}").into()));
+        if record.apply(&order) == OrderOutcome::TooMany {
+            assert_eq!(record.apply(&order), OrderOutcome::TooMany);
+            return;
+        }
+    }
+    panic!("no order was refused");
+}
+
 #[test]
 fn only_names_that_can_never_be_valid_are_refused() {
     let check = |name: &str| Order::Evacuate(name.into()).check().is_ok();
