--- a/crates/room/src/limit.rs
+++ b/crates/room/src/limit.rs
@@ -81,6 +81,11 @@
 
     /// Records that work which started at `started_at` was answered busy.
     pub fn on_busy(&mut self, now: Instant, started_at: Instant, ceiling: u32) {
+        let is_refused = |at: Instant| now.saturating_duration_since(at) < REFUSAL_VALID;
+        if !self.lowered_at.is_some_and(is_refused) {
+            // The responses before a gap say nothing about the time since.
+            self.busy_since = None;
+        }
         self.busy_since.get_or_insert(now);
         let is_news = self.lowered_at.is_none_or(|at| started_at >= at);
         if is_news {
--- a/crates/room/tests/limit.rs
+++ b/crates/room/tests/limit.rs
@@ -109,3 +109,15 @@
         assert_eq!((owner.limit.limit(SLOTS), owner.busy), (SLOTS, 0));
     }
 }
+
+/// Guards against an instance that is passed over after one busy response, because the last one
+/// before it, long ago, was not followed by a success.
+#[test]
+fn one_busy_response_after_a_gap_does_not_count_as_refusing() {
+    let (mut limit, start) = (ConcurrencyLimit::default(), Instant::now());
+    limit.on_busy(start, start, SLOTS);
+    let later = start + Duration::from_secs(10);
+    limit.on_busy(later, later, SLOTS);
+    assert!(!limit.is_refusing(later));
+    assert!(!limit.is_refusing(later + WORK));
+}
