--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -394,6 +394,7 @@
         host: &HostId,
     ) {
         sessions.drop_pins_of_host(host);
+        self.requests.drop_earlier_attempts_at(host);
         let at_host = |pending: &PendingRequest| {
             let target = pending.target.as_ref();
             target.is_some_and(|target| target.is_at(host))
--- a/crates/decide/src/entry/pending.rs
+++ b/crates/decide/src/entry/pending.rs
@@ -156,6 +156,18 @@
         true
     }
 
+    /// Drops the earlier attempts of hedged requests that were lost with the link to a host, and may
+    /// have run.
+    pub(crate) fn drop_earlier_attempts_at(&mut self, host: &HostId) {
+        let earlier = self.by_attempt.values();
+        let earlier = earlier.filter_map(|pending| pending.earlier_attempt.as_ref());
+        let lost = earlier.filter(|(_, target)| target.is_at(host));
+        let lost: Vec<RequestId> = lost.map(|(id, _)| *id).collect();
+        for id in lost {
+            self.drop_earlier_attempt(id, true);
+        }
+    }
+
     /// Returns where an attempt was sent, whether it is the latest or the one before a hedge.
     pub(crate) fn target_mut(&mut self, id: RequestId) -> Option<&mut Target> {
         if let Some(newest) = self.newest_by_earlier.get(&id) {
--- a/crates/decide/tests/hedged_refusals.rs
+++ b/crates/decide/tests/hedged_refusals.rs
@@ -90,3 +90,32 @@
     harness.handle(Event::Peer { from, msg });
     assert_eq!(verdicts(&mut harness), [Verdict::Ran]);
 }
+
+/// Guards against a caller that waits until its deadline for an attempt that was lost with the link
+/// to its owner.
+#[test]
+fn a_refusal_is_passed_on_at_once_if_the_other_attempt_is_lost() {
+    let (mut harness, first, second) = hedged_read();
+    harness.handle(Event::LinkDown(first.0.host.clone()));
+    harness.effects.clear();
+    refuse(&mut harness, &second);
+    let answer = harness.effects.iter().find_map(|effect| match effect {
+        Effect::Answer { answer, .. } => Some(answer.verdict),
+        _ => None,
+    });
+    assert_eq!(answer, Some(Verdict::MayHaveRun));
+}
+
+/// Guards against "not run" for a hedged read that runs: a bounce that refuses one attempt ended the
+/// request.
+#[test]
+fn a_bounce_that_refuses_one_attempt_leaves_the_other_to_answer() {
+    let (mut harness, first, second) = hedged_read();
+    bounce(&mut harness, &second, Bounce::Refused(Refusal::NotAllowed));
+    let (id, pin) = (first.1.id, None);
+    let answer = Answer::without_result(Verdict::Ran);
+    let msg = Msg::Relay(RelayMsg::Answer { id, answer, pin });
+    let from = first.0.clone();
+    harness.handle(Event::Peer { from, msg });
+    assert_eq!(verdicts(&mut harness), [Verdict::Ran]);
+}
