--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -182,7 +182,7 @@
             return job.reject_unknown_upstream(cx);
         };
         if is_held {
-            return job.send_back(cx);
+            return upstream.send_back(cx, &mut self.shared, job);
         }
         upstream.update_primary(view);
         upstream.primary_position = self.shared.primary_positions.get(&upstream.service);
--- a/crates/decide/src/owner/evacuation.rs
+++ b/crates/decide/src/owner/evacuation.rs
@@ -8,10 +8,10 @@
 use model::Refusal;
 
 use crate::evacuation::EvacLogEvent;
-use crate::owner::OwnedUpstreams;
 use crate::owner::job::Job;
 use crate::owner::replica_wait::WaitPolicy;
 use crate::owner::upstream::Upstream;
+use crate::owner::{OwnedUpstreams, SharedState};
 use crate::queue::{QueueDiscipline, RequestQueue};
 use crate::relay::Bounce;
 use crate::{Cx, View};
@@ -79,6 +79,16 @@
         self.primary.as_ref().is_some_and(|(_, id)| *id == self.id)
     }
 
+    /// Bounces a request, or refuses it and rolls its transaction back if it belongs to one.
+    pub(crate) fn send_back(&mut self, cx: &mut Cx<'_>, shared: &mut SharedState, job: Job) {
+        let Some(conn) = job.run.pin else {
+            return job.bounce(cx, Bounce::NotOwner);
+        };
+        let from = job.from.clone();
+        job.refuse(cx, Refusal::TransactionLost, "paused");
+        self.on_unpin(cx, shared, &from, conn);
+    }
+
     /// Logs that nothing more is sent to the upstream, once that is so.
     pub(crate) fn close_evacuated_if_due(&mut self, cx: &mut Cx<'_>) {
         if self.evacuation == EvacuationState::Closed || !self.evacuation.is_closed(cx.now) {
@@ -109,18 +119,8 @@
         self.held_until = Some(cx.now + HOLD);
         for upstream in self.upstreams.values_mut() {
             for job in upstream.queue.drain_where(|_| true) {
-                job.send_back(cx);
+                upstream.send_back(cx, &mut self.shared, job);
             }
         }
     }
 }
-
-impl Job {
-    /// Bounces the request, or refuses it if it belongs to an open transaction.
-    pub(crate) fn send_back(self, cx: &mut Cx<'_>) {
-        match self.run.pin {
-            Some(_) => self.refuse(cx, Refusal::TransactionLost, "paused"),
-            None => self.bounce(cx, Bounce::NotOwner),
-        }
-    }
-}
