owner: refuse at once what only an upstream that refuses everything may run

Such requests waited for their deadlines. Now they are refused once the refusals have lasted for as long as their objectives, and a probe as soon as it is answered busy.

--- a/crates/decide/src/owner/dispatch.rs
+++ b/crates/decide/src/owner/dispatch.rs
@@ -46,7 +46,7 @@
     /// Queues a request, or refuses it if it is not expected to run before its deadline.
     pub(crate) fn enqueue(&mut self, cx: &mut Cx<'_>, mut job: Job) {
         if self.turns_away(cx, &job) {
-            return job.bounce(cx, Bounce::Refused(Refusal::Overloaded));
+            return job.turn_away(cx);
         }
         job.cost = self.queue.expected_cost(&job.run.req.workspace);
         let urgent = job.run.pin.is_some();
@@ -113,28 +113,39 @@
         }
     }
 
-    /// Returns whether the upstream has answered nothing but busy for some time.
-    pub(crate) fn is_refusing(&self, cx: &Cx<'_>) -> bool {
-        cx.settings.room.limit_concurrency && self.limit.is_refusing(cx.now)
+    /// Returns for how long the upstream has answered nothing but busy, if that is some time.
+    fn refusing_for(&self, cx: &Cx<'_>) -> Option<Duration> {
+        let limits = cx.settings.room.limit_concurrency;
+        self.limit.refusing_for(cx.now).filter(|_| limits)
     }
 
-    /// Returns whether a request is sent back at once, since the upstream refuses everything and
-    /// another one may run it; one at a time is let through to see whether that has changed.
+    /// Returns whether a request gains nothing by waiting, since the upstream refuses everything.
+    pub(crate) fn waits_in_vain(&self, cx: &Cx<'_>, job: &Job) -> bool {
+        let refusing = self.refusing_for(cx);
+        refusing.is_some_and(|time| job.waits_in_vain(time))
+    }
+
+    /// Returns whether a request is sent back at once, since it would wait in vain; one at a time is
+    /// let through to see whether the upstream still refuses everything.
     fn turns_away(&self, cx: &Cx<'_>, job: &Job) -> bool {
         let is_probed = !self.queue.is_empty() || !self.running.is_empty();
-        self.is_refusing(cx) && job.may_run_elsewhere() && (is_probed || self.usable_slots(cx) == 0)
+        self.waits_in_vain(cx, job) && (is_probed || self.usable_slots(cx) == 0)
     }
 
-    /// Sends the requests back that wait for an upstream which refuses everything, but for the
-    /// first one and those that no other upstream may run.
+    /// Sends the requests back that wait in vain for an upstream which refuses everything, but for
+    /// the first one in time.
     fn empty_refused_queue(&mut self, cx: &mut Cx<'_>) {
-        if !self.is_refusing(cx) || self.queue.is_empty() {
+        let Some(time) = self.refusing_for(cx).filter(|_| !self.queue.is_empty()) else {
             return;
-        }
+        };
+        let now = cx.now;
         let mut kept = false;
-        let is_surplus = |job: &Job| job.may_run_elsewhere() && std::mem::replace(&mut kept, true);
+        let is_surplus = |job: &Job| {
+            let is_late = job.objective_at <= now;
+            job.waits_in_vain(time) && (is_late || std::mem::replace(&mut kept, true))
+        };
         for job in self.queue.drain_where(is_surplus) {
-            job.bounce(cx, Bounce::Refused(Refusal::Overloaded));
+            job.turn_away(cx);
         }
     }
 
--- a/crates/decide/src/owner/job.rs
+++ b/crates/decide/src/owner/job.rs
@@ -113,6 +113,22 @@
         self.run.pin.is_none() && !self.may_write() && !self.reads_newest()
     }
 
+    /// Returns whether it gains nothing by waiting for an upstream that has answered nothing but
+    /// busy for this long: another one may run it, or that is as long as its objective lasts.
+    pub(crate) fn waits_in_vain(&self, refusing: Duration) -> bool {
+        let after_objective = self.deadline.saturating_duration_since(self.objective_at);
+        let objective = self.run.req.timeout.saturating_sub(after_objective);
+        self.may_run_elsewhere() || (self.run.pin.is_none() && refusing >= objective)
+    }
+
+    /// Sends it back since its upstream refuses everything: to try another one, or to its caller.
+    pub(crate) fn turn_away(self, cx: &mut Cx<'_>) {
+        if self.may_run_elsewhere() {
+            return self.bounce(cx, Bounce::Refused(Refusal::Overloaded));
+        }
+        self.refuse(cx, Refusal::Overloaded, "upstream-refuses");
+    }
+
     /// Returns what log lines say of it.
     pub(crate) fn for_log(&self) -> LoggedRequest {
         LoggedRequest {
--- a/crates/room/src/limit.rs
+++ b/crates/room/src/limit.rs
@@ -64,9 +64,15 @@
 
     /// Returns whether the instance has answered nothing but busy for some time.
     pub fn is_refusing(&self, now: Instant) -> bool {
+        self.refusing_for(now).is_some()
+    }
+
+    /// Returns for how long the instance has answered nothing but busy, if that is some time.
+    pub fn refusing_for(&self, now: Instant) -> Option<Duration> {
         let age = |at: Instant| now.saturating_duration_since(at);
         let is_recent = self.lowered_at.is_some_and(|at| age(at) < REFUSAL_VALID);
-        is_recent && self.busy_since.is_some_and(|at| age(at) >= REFUSING_AFTER)
+        let refusing = self.busy_since.map(age).filter(|_| is_recent);
+        refusing.filter(|time| *time >= REFUSING_AFTER)
     }
 
     /// Returns when the current pause ends, if there is one.
