--- a/crates/carawayd/src/args.rs
+++ b/crates/carawayd/src/args.rs
@@ -22,6 +22,9 @@
         /// The host's settings file in TOML.
         #[arg(long, value_name = "FILE")]
         settings: PathBuf,
+        /// The memory of the machine in MiB, where the settings have no `budget.memory_mb`.
+        #[arg(long, value_name = "MIB")]
+        memory_mb: Option<u64>,
     },
     /// Checks a settings file; exits with status 2 if it is invalid.
     Check {
--- a/crates/carawayd/src/main.rs
+++ b/crates/carawayd/src/main.rs
@@ -15,7 +15,10 @@
 
 fn main() -> ExitCode {
     match Args::parse().command {
-        Command::Run { settings } => run::run(&settings),
+        Command::Run {
+            settings,
+            memory_mb,
+        } => run::run(&settings, memory_mb),
         Command::Check { settings } => run::check(&settings),
         Command::PrintConfig { settings } => run::print_config(settings.as_deref()),
         Command::Dev(options) => dev::dev(&options),
--- a/crates/carawayd/src/run.rs
+++ b/crates/carawayd/src/run.rs
@@ -17,10 +17,27 @@
 /// How often the settings file is read for changes, which take effect without a SIGHUP too.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Runs a host until a signal stops it.
-pub(crate) fn run(path: &Path) -> ExitCode {
-    match settings_file::read(path) {
-        Ok(cfg) => exit_status(run_host(path, cfg)),
+/// Where the settings of a running host come from.
+struct SettingsSource<'a> {
+    path: &'a Path,
+    /// The memory of the machine in MiB, where the file doesn't state it.
+    memory_mb: Option<u64>,
+}
+
+impl SettingsSource<'_> {
+    fn read(&self) -> Result<HostSettings, SettingsError> {
+        let mut cfg = settings_file::read(self.path)?;
+        cfg.budget.memory_mb = cfg.budget.memory_mb.or(self.memory_mb);
+        Ok(cfg)
+    }
+}
+
+/// Runs a host until a signal stops it; `memory_mb` is the memory of the machine in MiB, where the
+/// settings don't state it.
+pub(crate) fn run(path: &Path, memory_mb: Option<u64>) -> ExitCode {
+    let source = SettingsSource { path, memory_mb };
+    match source.read() {
+        Ok(cfg) => exit_status(run_host(&source, cfg)),
         Err(error) => bad_settings(&error),
     }
 }
@@ -68,7 +85,7 @@
     }
 }
 
-fn run_host(path: &Path, cfg: HostSettings) -> eyre::Result<()> {
+fn run_host(source: &SettingsSource<'_>, cfg: HostSettings) -> eyre::Result<()> {
     let _log = logs::start(&cfg.log)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(1)
@@ -89,16 +106,20 @@
             "listening callers={} peers={} api={} metrics={}",
             running.caller_addr, running.peer_addr, running.api_addr, running.metrics_addr
         );
-        serve(path, &mut running, hangup).await?;
+        serve(source, &mut running, hangup).await?;
         running.stop().await;
         Ok(())
     })
 }
 
 /// Reloads the settings on SIGHUP and whenever the file changes, until a signal stops the host.
-async fn serve(path: &Path, running: &mut RunningHost, mut hangup: Signal) -> eyre::Result<()> {
+async fn serve(
+    source: &SettingsSource<'_>,
+    running: &mut RunningHost,
+    mut hangup: Signal,
+) -> eyre::Result<()> {
     let mut poll = tokio::time::interval(SETTINGS_POLL_INTERVAL);
-    let mut last_contents = std::fs::read(path).ok();
+    let mut last_contents = std::fs::read(source.path).ok();
     let stop = stop_signal();
     tokio::pin!(stop);
     loop {
@@ -107,12 +128,12 @@
             _ = hangup.recv() => true,
             _ = poll.tick() => false,
         };
-        let contents = std::fs::read(path).ok();
+        let contents = std::fs::read(source.path).ok();
         if !reload_requested && contents == last_contents {
             continue;
         }
         last_contents = contents;
-        match settings_file::read(path) {
+        match source.read() {
             Ok(cfg) => running.reload(cfg),
             Err(error) => log::error!("event=705 settings-unusable error={error:?}"),
         }
