--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -5,6 +5,7 @@
 //! owner is a host that holds connections to an upstream. A request for which no upstream is
 //! usable is parked: it stays here and is tried again after a backoff.
 
+mod bounce;
 pub mod budget;
 mod forwarded;
 mod hedge;
@@ -17,10 +18,7 @@
 
 use std::time::Instant;
 
-use model::{
-    Answer, ConnId, HostId, Kind, PartAddr, Refusal, Request, RequestId, SessionId, TxStatus,
-    Verdict,
-};
+use model::{Answer, ConnId, Kind, Refusal, Request, RequestId, SessionId, TxStatus, Verdict};
 use room::RetryBudget;
 
 use crate::admit::Admission;
@@ -31,8 +29,7 @@
 };
 use crate::entry::pick::Router;
 use crate::grant::PartTokenGrant;
-use crate::owner::CapacitySource;
-use crate::relay::{Bounce, RelayMsg, RunRequest};
+use crate::relay::{RelayMsg, RunRequest};
 use crate::route::ReadPolicy;
 use crate::session::{SessionLogEvent, SessionPin, Sessions, lets_transaction_end};
 use crate::{Cx, View};
@@ -296,136 +293,6 @@
         answer_caller(cx, sessions, &pending, answer);
     }
 
-    /// Handles a request that an owner has sent back: sends it to another upstream or owner, parks
-    /// it or answers it.
-    pub fn on_bounce(
-        &mut self,
-        cx: &mut Cx<'_>,
-        view: &View,
-        sessions: &mut Sessions,
-        from: &PartAddr,
-        id: RequestId,
-        why: Bounce,
-    ) {
-        let may_have_run = match &why {
-            // Where claims are granted, a replica's read runs before the age of its data is known.
-            Bounce::Behind => cx.settings.owner.capacity == CapacitySource::Claimed,
-            why => *why == Bounce::Unproved,
-        };
-        if self.requests.drop_earlier_attempt(id, may_have_run) {
-            return;
-        }
-        let Some(mut pending) = self.requests.remove(id) else {
-            return;
-        };
-        let Some(target) = pending.target.take().filter(|_| !pending.answered) else {
-            return;
-        };
-        if target.pin.is_some() {
-            if let Some(session) = sessions.get_mut(pending.session) {
-                session.pin = None;
-            }
-            let verdict = Verdict::NotRun(Refusal::TransactionLost);
-            return answer_without_result(cx, sessions, pending, verdict);
-        }
-        pending.may_have_run |= may_have_run;
-        match why {
-            Bounce::Refused(Refusal::Overloaded)
-                if cx.settings.room.limit_concurrency && pending.attempts <= 1 =>
-            {
-                // The upstream refuses all requests; others may have spare capacity.
-                self.router.failures.record_behind(cx.now, &target.upstream);
-                pending.last_refusal = Refusal::Overloaded;
-                return self.send_or_park(cx, view, sessions, pending);
-            }
-            Bounce::Refused(refusal) => {
-                if let Some((earlier, target)) = pending.earlier_attempt.take() {
-                    // The first attempt of a hedged read may still be answered.
-                    pending.last_refusal = refusal;
-                    pending.target = Some(target);
-                    return self.requests.insert(earlier, pending);
-                }
-                return answer_without_result(cx, sessions, pending, Verdict::NotRun(refusal));
-            }
-            Bounce::Behind => {
-                if *from == target.owner {
-                    self.router.failures.record_behind(cx.now, &target.upstream);
-                }
-                pending.last_refusal = Refusal::NoUpstream;
-                // A second bounce shows that no upstream has the position yet.
-                if !std::mem::replace(&mut pending.replica_behind, true) {
-                    return self.send_or_park(cx, view, sessions, pending);
-                }
-            }
-            Bounce::NotPrimary { primary } => {
-                pending.last_refusal = Refusal::NoPrimary;
-                if self
-                    .router
-                    .on_primary_hint(view, &pending.req.service, primary)
-                {
-                    return self.send_or_park(cx, view, sessions, pending);
-                }
-            }
-            Bounce::NotOwner | Bounce::Unavailable | Bounce::Unproved => {
-                // A forwarded read's bounce may come before the message that says who has it.
-                if *from == target.owner {
-                    let owner = &target.owner.host;
-                    self.router
-                        .failures
-                        .record_unavailable(cx.now, &target.upstream, owner);
-                }
-                pending.last_refusal = Refusal::NoUpstream;
-                if pending.attempts <= 1 && self.may_retry(cx) {
-                    return self.send_or_park(cx, view, sessions, pending);
-                }
-            }
-        }
-        self.park(cx, pending);
-    }
-
-    /// Handles the loss of the link to a host, whose pinned transactions are lost.
-    ///
-    /// Repeatable requests under way there are sent elsewhere; the others may have run.
-    pub fn on_link_down(
-        &mut self,
-        cx: &mut Cx<'_>,
-        view: &View,
-        sessions: &mut Sessions,
-        host: &HostId,
-    ) {
-        sessions.drop_pins_of_host(host);
-        self.requests.drop_earlier_attempts_at(host);
-        let at_host = |pending: &PendingRequest| {
-            let target = pending.target.as_ref();
-            target.is_some_and(|target| target.is_at(host))
-        };
-        let lost: Vec<RequestId> = self
-            .requests
-            .iter()
-            .filter(|(_, pending)| at_host(pending))
-            .map(|(id, _)| id)
-            .collect();
-        for id in lost {
-            let Some(mut pending) = self.requests.remove(id) else {
-                continue;
-            };
-            let Some(target) = pending.target.take().filter(|_| !pending.answered) else {
-                continue;
-            };
-            self.router
-                .failures
-                .record_unavailable(cx.now, &target.upstream, host);
-            let may_repeat = pending.req.repeatable && target.pin.is_none();
-            if may_repeat {
-                pending.last_refusal = Refusal::NoUpstream;
-                pending.may_have_run = true;
-                self.send_or_park(cx, view, sessions, pending);
-            } else {
-                answer_without_result(cx, sessions, pending, Verdict::MayHaveRun);
-            }
-        }
-    }
-
     /// Tells owners to cancel the requests of a caller that has disconnected.
     ///
     /// A request stays pending until its answer, which may open a transaction to roll back.
