carawayctl explain: say where a request would go, and why, without sending it

An operator could learn where requests go only from the log lines of requests that were sent.

`carawayctl explain` asks one host over its JSON-RPC API. The control part passes the call to a traffic part as an event, and the answer comes back as one; the control part adds the age of the configuration and the instances that have lapsed or are cut off. The traffic part handles the request with the code that serves callers (`CallerRequests::on_request`), on a copy of its router, tokens and random numbers, and reads the effects instead of running them. `explain` borrows the state and the context immutably.

`RecentFailures` now says why an upstream or owner is left out (`read_obstacle`, `owner_obstacle`); the functions that leave them out ask for that, so that both are one rule. The order of the checks and their results are as before. `Call`, `Reply` and `Event` get variants at the end or within the host only; nothing new is sent between hosts.

--- a/crates/carawayctl/src/args.rs
+++ b/crates/carawayctl/src/args.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
-use model::ConfigVersion;
+use model::{ConfigVersion, PartId, Position};
 
 use crate::load::LoadOptions;
 
@@ -51,6 +51,11 @@
     Config(ConfigCommand),
     /// Shows the hosts, services, upstreams and configuration version that one host knows of.
     Status,
+    /// Shows where the asked host would send a request now, and why, without sending it.
+    ///
+    /// The request is the first of a new session. Each traffic part of the host has its own rate
+    /// tokens and its own record of failures, so that the parts may answer differently.
+    Explain(ExplainOptions),
     /// Orders that nothing more is sent to the instances of a data centre, until it is restored.
     ///
     /// Primaries there are replaced by instances elsewhere. Done means that a quorum has committed
@@ -81,6 +86,53 @@
     },
 }
 
+/// Options of `explain`.
+#[derive(Debug, clap::Args)]
+pub(crate) struct ExplainOptions {
+    /// The service; may be left out with --route, whose rules name it.
+    #[arg(long, required_unless_present = "route")]
+    pub(crate) service: Option<String>,
+    /// Whether the request reads or may write.
+    #[arg(long, value_enum, default_value_t = RequestKind::Read)]
+    pub(crate) kind: RequestKind,
+    /// The workspace that the caller has a key of; leave it out for callers without a key.
+    #[arg(long)]
+    pub(crate) workspace: Option<String>,
+    /// The route that the caller names; its rules say how recent the data of reads must be.
+    #[arg(long)]
+    pub(crate) route: Option<String>,
+    /// The maximum age of the data that a read accepts, with its unit, such as 2s or 250ms.
+    #[arg(long, value_name = "AGE", conflicts_with = "route")]
+    pub(crate) max_age: Option<humantime::Duration>,
+    /// The position of the session, whose writes a read must see.
+    #[arg(long, value_name = "TERM/OFFSET")]
+    pub(crate) session: Option<Position>,
+    /// The request opens a transaction of this kind.
+    #[arg(long, value_enum, value_name = "KIND")]
+    pub(crate) transaction: Option<TransactionKind>,
+    /// The traffic part of the host to ask, counted from 1; the first by default.
+    #[arg(long, value_name = "N")]
+    pub(crate) part: Option<PartId>,
+}
+
+/// Whether a request may write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub(crate) enum RequestKind {
+    /// It only reads.
+    Read,
+    /// It may write.
+    Write,
+}
+
+/// Whether a transaction may write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub(crate) enum TransactionKind {
+    /// It is declared to only read.
+    ReadOnly,
+    /// It may write.
+    ReadWrite,
+}
+
 /// Options of `evacuate` and `restore`.
 #[derive(Debug, clap::Args)]
 pub(crate) struct DataCentreOptions {
--- a/crates/carawayctl/src/main.rs
+++ b/crates/carawayctl/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod config;
 mod evacuation;
+mod explain;
 mod key;
 mod load;
 mod output;
@@ -25,6 +26,7 @@
         Command::Patch(options) => patch::patch(&cx, &options).await,
         Command::Config(command) => config::config(&cx, &command).await,
         Command::Status => status::status(&cx).await,
+        Command::Explain(options) => explain::explain(&cx, &options).await,
         Command::Evacuate(options) => evacuation::evacuate(&cx, &options).await,
         Command::Restore(options) => evacuation::restore(&cx, &options).await,
         Command::Workspace(command) => workspace::workspace(&cx, &command).await,
--- a/crates/carawayd/tests/path.rs
+++ b/crates/carawayd/tests/path.rs
@@ -5,12 +5,15 @@
 use std::time::{Duration, Instant};
 
 use decide::call::PatchOutcome;
+use decide::entry::explanation::{ExplainRequest, Outcome, RateDecision};
 use fleet::client::{
-    KEY_NAME, PASSWORD, WORKSPACE, configure, connect, first_value, patch, sqlstate, submit,
-    wait_for_write,
+    KEY_NAME, PASSWORD, WORKSPACE, api_client, configure, connect, first_value, patch, sqlstate,
+    submit, wait_for_write,
 };
-use fleet::{Fleet, HostPlan, eventually, plan};
+use fleet::{Fleet, HostPlan, SERVICE, eventually, plan};
+use model::Kind;
 use model::config::Change;
+use peer::api::{ApiClient, REFUSED_CODE};
 
 /// The time within which a withdrawn key must be refused on all hosts.
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -177,3 +180,58 @@
         );
     }
 }
+
+/// Guards against a question that never comes back from the traffic part, or that a host without
+/// callers leaves open.
+#[tokio::test]
+async fn an_entry_host_explains_where_it_would_send_a_request() {
+    let fleet = start().await;
+    let request = |kind| ExplainRequest {
+        service: SERVICE.into(),
+        kind,
+        in_transaction: false,
+        read_only_transaction: false,
+        workspace: Some(WORKSPACE.into()),
+        route: None,
+        max_age: Some(Duration::from_secs(5)),
+        floor: None,
+        part: None,
+    };
+    for host in ["entry-1", "entry-3"] {
+        let api = api_client(fleet.host(host).api);
+        let status = api.status().await.unwrap();
+        let service = &status.services[0];
+        for (kind, reason) in [(Kind::Write, "write"), (Kind::Read, "near-replica")] {
+            let explanation = api.explain(request(kind)).await.unwrap();
+            let shown = format!("{explanation:?}");
+            let target = explanation.target.expect(&shown);
+            let mut upstreams = service.upstreams.iter();
+            let upstream = upstreams.find(|up| up.upstream == target.upstream);
+            assert!(upstream.unwrap().owners.contains(&target.owner), "{shown}");
+            let primary = service.primary.as_ref();
+            assert_eq!(primary == Some(&target.upstream), kind == Kind::Write);
+            assert!(
+                [reason, "replica"].contains(&target.reason.as_str()),
+                "{shown}"
+            );
+            assert!(
+                matches!(
+                    (explanation.outcome, explanation.rate.decision),
+                    (Outcome::Sent, Some(RateDecision::Admitted))
+                        | (Outcome::WaitsForToken, Some(RateDecision::Waits))
+                ),
+                "{shown}"
+            );
+            assert_eq!((explanation.host.as_str(), explanation.version), (host, 1));
+            assert_eq!(explanation.upstreams.len(), 3, "{shown}");
+            assert!(explanation.confirmed_age.is_some(), "{shown}");
+            assert!(explanation.view_age.is_some(), "{shown}");
+        }
+    }
+    let api = api_client(fleet.host("control-1").api);
+    let refused = api.explain(request(Kind::Read)).await.unwrap_err();
+    let jsonrpsee::core::ClientError::Call(error) = refused else {
+        panic!("{refused}");
+    };
+    assert_eq!(error.code(), REFUSED_CODE);
+}
--- a/crates/decide/src/admit.rs
+++ b/crates/decide/src/admit.rs
@@ -51,7 +51,7 @@
 }
 
 /// Decides whether requests are within their workspace's rate.
-pub trait Admission: Debug {
+pub trait Admission: Clone + Debug {
     /// Decides on a request.
     fn try_admit(&mut self, now: Instant, workspace: &WorkspaceId, wait: TokenWait) -> Admit;
 
@@ -72,7 +72,7 @@
 }
 
 /// Admits a request for each token that the control part has granted.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct TokenAdmission {
     config: Arc<Config>,
     settings: GrantSettings,
@@ -86,7 +86,7 @@
 }
 
 /// A traffic part's tokens and requests of one workspace.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct WorkspaceAdmission {
     /// How many tokens may still be used.
     remaining: u32,
@@ -291,7 +291,7 @@
 }
 
 /// Admits a fixed equal share of each rate on each host; tests compare grants with it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct FixedShare {
     config: Arc<Config>,
     hosts: u32,
@@ -299,7 +299,7 @@
 }
 
 /// A token bucket of one workspace on one host.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Bucket {
     tokens: NanoTokens,
     refilled_at: Instant,
--- a/crates/decide/src/call.rs
+++ b/crates/decide/src/call.rs
@@ -6,6 +6,7 @@
 use model::{Announcement, Config, ConfigVersion, HostId, PatchId, UpstreamId};
 use serde::{Deserialize, Serialize};
 
+use crate::entry::explanation::{ExplainRequest, Explanation};
 use crate::view::FleetStatus;
 
 /// A call of an operator or of the platform to a host.
@@ -44,6 +45,8 @@
     },
     /// Evacuates a data centre or restores it; may be sent again.
     Evacuation(Order),
+    /// Asks where this host would send a request now, and why, without sending it.
+    Explain(ExplainRequest),
 }
 
 /// Changes to a given version of the configuration, applied all or none.
@@ -92,4 +95,6 @@
     Unconfirmed,
     /// The call can't be carried out, for the stated reason, and nothing was changed.
     Refused(String),
+    /// Where this host would send a request now, and why.
+    Explained(Box<Explanation>),
 }
--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -7,10 +7,11 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use model::{CallId, HostId, HostInfo, PartAddr, UpstreamId};
+use model::{CallId, FIRST_TRAFFIC_PART, HostId, HostInfo, PartAddr, UpstreamId};
 
 use crate::authority::{AuthorityKind, QuorumAuthority};
 use crate::call::{Call, Reply};
+use crate::entry::explanation::{ExplainRequest, Explanation};
 use crate::grant::ReserveSite;
 use crate::group::{GroupMsg, Groups};
 use crate::raft::{EntryData, LogIndex, PersistentState, Raft, RaftMsg};
@@ -88,6 +89,7 @@
             Event::Undelivered { to, .. } => self.spread.on_link_down(cx, &to.host),
             Event::TokenDemand(demand) => self.tokens.holder.on_token_demand(cx, &demand),
             Event::Call { id, call } => self.on_call(cx, id, call),
+            Event::Explained { id, explanation } => self.on_explained(cx, id, explanation),
             Event::QueryAnswered { id, result } if quorum_replaces_primaries(cx) => {
                 self.authority.on_query_reply(cx, id, result);
             }
@@ -211,10 +213,19 @@
                 let reply = Reply::Done;
                 cx.emit(Effect::Reply { id, reply });
             }
+            Call::Explain(request) => ask_traffic_part(cx, id, request),
             call => self.control_client.on_call(cx, id, call),
         }
     }
 
+    /// Adds what only this part knows to a traffic part's explanation, and replies with it.
+    fn on_explained(&self, cx: &mut Cx<'_>, id: CallId, mut explanation: Box<Explanation>) {
+        let status = self.spread.fleet_status(cx.now);
+        explanation.add_fleet_status(&status, &self.spread.cut_off);
+        let reply = Reply::Explained(explanation);
+        cx.emit(Effect::Reply { id, reply });
+    }
+
     fn on_committed(&mut self, cx: &mut Cx<'_>, committed: Committed) {
         match committed {
             Committed::Config(config) => {
@@ -279,3 +290,19 @@
 fn quorum_replaces_primaries(cx: &Cx<'_>) -> bool {
     cx.settings.group.authority == AuthorityKind::Quorum
 }
+
+/// Passes a call on to the traffic part of this host that it names, the first one by default.
+fn ask_traffic_part(cx: &mut Cx<'_>, id: CallId, request: ExplainRequest) {
+    let part = request.part.unwrap_or(FIRST_TRAFFIC_PART);
+    let last = cx.me.traffic_parts;
+    if !(FIRST_TRAFFIC_PART..=last).contains(&part) {
+        let reply = Reply::Refused(match last {
+            0 => "this host serves no callers".to_owned(),
+            _ => format!("this host has the traffic parts {FIRST_TRAFFIC_PART} to {last}"),
+        });
+        return cx.emit(Effect::Reply { id, reply });
+    }
+    let call = Call::Explain(request);
+    let event = Box::new(Event::Call { id, call });
+    cx.emit(Effect::ForwardEvent { part, event });
+}
--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -7,6 +7,8 @@
 
 mod bounce;
 pub mod budget;
+mod explain;
+pub mod explanation;
 mod forwarded;
 mod hedge;
 mod last_answers;
--- a/crates/decide/src/entry/owner_check.rs
+++ b/crates/decide/src/entry/owner_check.rs
@@ -22,13 +22,13 @@
 const LATE_TIMER: Duration = Duration::from_millis(50);
 
 /// The parts of owners from which something is expected, and those that are silent.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct OwnerChecks {
     by_part: HashMap<PartAddr, OwnerCheck>,
 }
 
 /// What is expected from one part of an owner.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct OwnerCheck {
     /// When to see whether requests still wait, or whether the check was answered.
     due_at: Instant,
--- a/crates/decide/src/entry/pick.rs
+++ b/crates/decide/src/entry/pick.rs
@@ -9,7 +9,7 @@
 use crate::{Cx, View};
 
 /// Chooses the upstream and the owner for each request.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Router<R> {
     policy: R,
     /// The upstreams and owners that failed recently and get no requests for a short time.
@@ -62,11 +62,11 @@
             self.newest_primary(view, &req.service)
                 .map(|(_, id)| id.clone())
         };
-        if req.kind == Kind::Write || (req.in_transaction && !req.read_only_transaction) {
+        if may_write(req) {
             let open = primary().filter(|id| !view.is_closed(id, cx.now));
             return open.map(|id| (id, "write"));
         }
-        let needs_newest = req.floor.is_none() && req.max_age.is_none();
+        let needs_newest = needs_newest(req);
         if pending.replica_behind || needs_newest {
             let reason = if needs_newest {
                 "no-floor"
@@ -101,7 +101,7 @@
     }
 
     /// Returns the upstreams of a service that may get a read now.
-    fn usable_upstreams<'a>(
+    pub(super) fn usable_upstreams<'a>(
         &self,
         cx: &Cx<'_>,
         view: &View,
@@ -113,7 +113,7 @@
     }
 
     /// Returns the primary with the highest term out of the view and the owners' hints.
-    fn newest_primary<'a>(
+    pub(super) fn newest_primary<'a>(
         &'a self,
         view: &'a View,
         service: &ServiceId,
@@ -149,3 +149,13 @@
         });
     }
 }
+
+/// Returns whether a request goes to the primary because it, or its transaction, may write.
+pub(super) fn may_write(req: &Request) -> bool {
+    req.kind == Kind::Write || (req.in_transaction && !req.read_only_transaction)
+}
+
+/// Returns whether a read goes to the primary because it must see all acknowledged writes.
+pub(super) fn needs_newest(req: &Request) -> bool {
+    req.floor.is_none() && req.max_age.is_none()
+}
--- a/crates/decide/src/entry/token_wait.rs
+++ b/crates/decide/src/entry/token_wait.rs
@@ -63,7 +63,7 @@
 }
 
 /// Returns how a request may wait for a token.
-fn token_wait(cx: &Cx<'_>, sessions: &Sessions, pending: &PendingRequest) -> TokenWait {
+pub(super) fn token_wait(cx: &Cx<'_>, sessions: &Sessions, pending: &PendingRequest) -> TokenWait {
     let refuse_at_once = cx.settings.room.refuse_over_rate;
     let session = sessions.get(pending.session);
     let rules = session.and_then(|session| session.route_rules.as_ref());
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -10,6 +10,7 @@
 use crate::call::Call;
 use crate::caller::CallerEvent;
 use crate::conn::ConnEvent;
+use crate::entry::explanation::Explanation;
 use crate::grant::{PartTokenDemand, PartTokenGrant};
 use crate::raft::Persisted;
 use crate::replicated_state::Committed;
@@ -38,13 +39,21 @@
         /// The message.
         msg: Msg,
     },
-    /// An operator or the platform has made a call to this host.
+    /// An operator or the platform has made a call to this host; the control part passes on what a
+    /// traffic part has to answer.
     Call {
         /// Number of the call, for the reply.
         id: CallId,
         /// The call.
         call: Call,
     },
+    /// A traffic part of this host has answered [`Call::Explain`], which the control part passed on.
+    Explained {
+        /// Number of the call, for the reply.
+        id: CallId,
+        /// The answer.
+        explanation: Box<Explanation>,
+    },
     /// A caller has asked for a session, sent a request or gone.
     Caller(CallerEvent),
     /// A pooled connection to an upstream has opened, finished a request or failed.
--- a/crates/decide/src/raft/leader_call.rs
+++ b/crates/decide/src/raft/leader_call.rs
@@ -142,7 +142,7 @@
                 self.answer_membership_calls(cx);
                 self.propose_membership_change(cx);
             }
-            Call::Status | Call::Announce(_) | Call::Withdraw(_) => {}
+            Call::Status | Call::Announce(_) | Call::Withdraw(_) | Call::Explain(_) => {}
         }
     }
 
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -35,7 +35,7 @@
 ];
 
 /// Chooses the upstream for a read.
-pub trait ReadPolicy: Default {
+pub trait ReadPolicy: Clone + Default {
     /// Returns one of the usable upstreams, with the reason for the log.
     fn pick(
         &self,
@@ -47,7 +47,7 @@
 }
 
 /// Sends reads to replicas, those of this host's data centre first, or else to the primary.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct PreferReplicas;
 
 impl ReadPolicy for PreferReplicas {
@@ -78,7 +78,7 @@
 }
 
 /// Sends every read to the primary.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct PrimaryOnly;
 
 impl ReadPolicy for PrimaryOnly {
@@ -103,8 +103,31 @@
         .is_some_and(|up| up.announcement.data_centre == me.data_centre)
 }
 
+/// Why an upstream gets no reads, or an owner no requests for an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Obstacle {
+    /// The reason in a word, for operators.
+    pub(crate) reason: &'static str,
+    /// When it ends by itself; `None` if that isn't known.
+    pub(crate) until: Option<Instant>,
+}
+
+impl Obstacle {
+    /// Returns an obstacle of which it isn't known when it ends.
+    fn lasting(reason: &'static str) -> Option<Self> {
+        let until = None;
+        Some(Self { reason, until })
+    }
+
+    /// Returns an obstacle if its end is recorded and has not come.
+    fn recorded(reason: &'static str, now: Instant, until: Option<&Instant>) -> Option<Self> {
+        let until = until.copied().filter(|until| now < *until);
+        until.is_some().then_some(Self { reason, until })
+    }
+}
+
 /// Upstreams and owners that failed recently, each avoided until a given time.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct RecentFailures {
     behind_until: HashMap<UpstreamId, Instant>,
     unavailable_until: HashMap<(UpstreamId, HostId), Instant>,
@@ -140,9 +163,12 @@
     }
 
     fn is_loaded(&self, now: Instant, upstream: &UpstreamId) -> bool {
-        self.loaded_until
-            .get(upstream)
-            .is_some_and(|until| now < *until)
+        self.load_obstacle(now, upstream).is_some()
+    }
+
+    /// Returns until when an upstream gets reads only if all are loaded, if it is loaded.
+    pub(crate) fn load_obstacle(&self, now: Instant, upstream: &UpstreamId) -> Option<Obstacle> {
+        Obstacle::recorded("loaded", now, self.loaded_until.get(upstream))
     }
 
     /// Returns another upstream in place of a loaded one that a policy has chosen for a read: a
@@ -165,9 +191,21 @@
 
     /// Returns whether an owner has recently left a read on an upstream unanswered.
     fn left_unanswered(&self, now: Instant, upstream: &UpstreamId, owner: &HostId) -> bool {
+        self.unanswered_obstacle(now, upstream, owner).is_some()
+    }
+
+    /// Returns until when an owner is chosen only if there is no other, if it has recently left a
+    /// read on an upstream unanswered.
+    pub(crate) fn unanswered_obstacle(
+        &self,
+        now: Instant,
+        upstream: &UpstreamId,
+        owner: &HostId,
+    ) -> Option<Obstacle> {
         // Few pairs are recorded at a time: a scan needs no owned key, which a lookup would.
         let mut pairs = self.unanswered_until.iter();
-        pairs.any(|((id, host), until)| id == upstream && host == owner && now < *until)
+        let pair = pairs.find(|((id, host), _)| id == upstream && host == owner);
+        Obstacle::recorded("unanswered", now, pair.map(|(_, until)| until))
     }
 
     /// Removes the records whose time has passed.
@@ -178,18 +216,6 @@
         self.loaded_until.retain(|_, until| *until > now);
     }
 
-    fn is_behind(&self, now: Instant, upstream: &UpstreamId) -> bool {
-        self.behind_until
-            .get(upstream)
-            .is_some_and(|until| *until > now)
-    }
-
-    fn is_unavailable(&self, now: Instant, upstream: &UpstreamId, owner: &HostId) -> bool {
-        self.unavailable_until
-            .get(&(upstream.clone(), owner.clone()))
-            .is_some_and(|until| *until > now)
-    }
-
     /// Returns the upstreams of a service that may get a read now.
     ///
     /// It leaves out draining replicas, those that were behind a floor, those of evacuated data
@@ -202,23 +228,11 @@
         service: &'a ServiceView,
         ignore_behind: bool,
     ) -> Vec<&'a UpstreamId> {
-        let primary = service.primary.as_ref().map(|(_, primary)| primary);
-        let takes_work = |id: &&UpstreamId| {
-            let up = view.upstreams.get(*id);
-            let is_primary = primary == Some(*id);
-            let evacuated = view.is_closed(id, now) || (!is_primary && view.is_evacuated(id));
-            !evacuated && (is_primary || up.is_some_and(|up| !up.announcement.draining))
-        };
-        let mut usable: Vec<&UpstreamId> = service
-            .upstreams
-            .iter()
-            .filter(takes_work)
-            .filter(|id| ignore_behind || !self.is_behind(now, id))
-            .filter(|id| {
-                let up = view.upstreams.get(*id);
-                up.is_some_and(|up| self.has_usable_owner(now, view, checks, up))
-            })
-            .collect();
+        let usable = service.upstreams.iter().filter(|id| {
+            self.read_obstacle(now, view, checks, service, id, ignore_behind)
+                .is_none()
+        });
+        let mut usable: Vec<&UpstreamId> = usable.collect();
         let responsive = |id: &&UpstreamId| {
             let owners = view.upstreams.get(*id).map(|up| &up.owners);
             let mut owners = owners.into_iter().flatten();
@@ -230,6 +244,36 @@
         usable
     }
 
+    /// Returns why an upstream of a service may get no read now; `None` if it may.
+    pub(crate) fn read_obstacle(
+        &self,
+        now: Instant,
+        view: &View,
+        checks: &OwnerChecks,
+        service: &ServiceView,
+        id: &UpstreamId,
+        ignore_behind: bool,
+    ) -> Option<Obstacle> {
+        let primary = service.primary.as_ref();
+        let is_primary = primary.is_some_and(|(_, primary)| primary == id);
+        if view.is_closed(id, now) || (!is_primary && view.is_evacuated(id)) {
+            return Obstacle::lasting("evacuated");
+        }
+        let up = view.upstreams.get(id);
+        if !is_primary && up.is_some_and(|up| up.announcement.draining) {
+            return Obstacle::lasting("draining");
+        }
+        if !ignore_behind
+            && let Some(behind) = Obstacle::recorded("behind", now, self.behind_until.get(id))
+        {
+            return Some(behind);
+        }
+        if up.is_some_and(|up| self.has_usable_owner(now, view, checks, up)) {
+            return None;
+        }
+        Obstacle::lasting("no-usable-owner")
+    }
+
     /// Returns whether an upstream has an owner that requests may be sent to.
     fn has_usable_owner(
         &self,
@@ -254,9 +298,27 @@
         upstream: &UpstreamId,
         host: &HostId,
     ) -> bool {
-        view.hosts.contains_key(host)
-            && !checks.is_silent(host)
-            && !self.is_unavailable(now, upstream, host)
+        self.owner_obstacle(now, view, checks, upstream, host)
+            .is_none()
+    }
+
+    /// Returns why an owner may get no requests for an upstream now; `None` if it may.
+    pub(crate) fn owner_obstacle(
+        &self,
+        now: Instant,
+        view: &View,
+        checks: &OwnerChecks,
+        upstream: &UpstreamId,
+        host: &HostId,
+    ) -> Option<Obstacle> {
+        if !view.hosts.contains_key(host) {
+            return Obstacle::lasting("cut-off");
+        }
+        if checks.is_silent(host) {
+            return Obstacle::lasting("silent");
+        }
+        let pair = (upstream.clone(), host.clone());
+        Obstacle::recorded("unavailable", now, self.unavailable_until.get(&pair))
     }
 
     /// Returns the traffic part (state of one thread of a host) to send an upstream's request to.
--- a/crates/decide/src/session.rs
+++ b/crates/decide/src/session.rs
@@ -59,7 +59,7 @@
 }
 
 /// A caller's session on this host.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Session {
     /// The workspace whose rate the requests count against.
     pub workspace: WorkspaceId,
@@ -243,7 +243,7 @@
 }
 
 /// The callers' sessions of one traffic part.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Sessions {
     by_id: HashMap<SessionId, Session>,
     /// Whether the host is leaving, so that logins are refused.
@@ -286,6 +286,22 @@
         cx.emit(Effect::FinishLogin { session, result });
     }
 
+    /// Returns a copy without the sessions but for a new one, which is marked to end if a login for
+    /// it would be refused now.
+    pub(crate) fn copy_with(&self, view: &View, id: SessionId, mut session: Session) -> Self {
+        session.ending_reason = if self.leaving || !view.config_usable {
+            Some(Refusal::NotReady)
+        } else {
+            revocation_reason(view, &session)
+        };
+        Self {
+            by_id: [(id, session)].into_iter().collect(),
+            leaving: self.leaving,
+            transactions_end_at: self.transactions_end_at,
+            transactions_ended: self.transactions_ended,
+        }
+    }
+
     /// Returns a session, unless its caller has disconnected.
     pub fn get(&self, session: SessionId) -> Option<&Session> {
         self.by_id.get(&session)
--- a/crates/decide/src/traffic.rs
+++ b/crates/decide/src/traffic.rs
@@ -8,9 +8,10 @@
 use std::time::Instant;
 
 use model::config::CommitRule;
-use model::{HostId, Kind, PartAddr, RequestId, SessionId};
+use model::{CONTROL_PART, HostId, Kind, PartAddr, RequestId, SessionId};
 
 use crate::admit::TokenAdmission;
+use crate::call::Call;
 use crate::caller::CallerEvent;
 use crate::commit::{CommitOutcome, CommitTracker};
 use crate::entry::CallerRequests;
@@ -31,6 +32,8 @@
 #[derive(Debug)]
 pub struct TrafficPart {
     view: Arc<View>,
+    /// When the view was published; `None` until the first one.
+    view_at: Option<Instant>,
     sessions: Sessions,
     /// Requests of this part's callers.
     entry: CallerRequests<PreferReplicas, TokenAdmission>,
@@ -49,6 +52,7 @@
     pub fn new(settings: &Settings) -> Self {
         Self {
             view: Arc::default(),
+            view_at: None,
             sessions: Sessions::default(),
             entry: CallerRequests::new(
                 TokenAdmission::new(settings.grant.clone()),
@@ -115,11 +119,25 @@
                 }
             }
             Event::View(view) => self.on_view(cx, view),
+            Event::Call {
+                id,
+                call: Call::Explain(request),
+            } => {
+                let view_age = self.view_at.map(|at| cx.now.saturating_duration_since(at));
+                let explanation =
+                    self.entry
+                        .explain(cx, &self.view, view_age, &self.sessions, &request);
+                let explanation = Box::new(explanation);
+                let event = Box::new(Event::Explained { id, explanation });
+                let part = CONTROL_PART;
+                cx.emit(Effect::ForwardEvent { part, event });
+            }
             Event::Leave => self.start_leaving(cx),
             Event::LeaveTimedOut => self.answer_all(cx),
             Event::Peer { .. }
             | Event::Undelivered { .. }
             | Event::Call { .. }
+            | Event::Explained { .. }
             | Event::PromotionAnswered { .. }
             | Event::TokenDemand(_)
             | Event::Persisted(_)
@@ -280,6 +298,7 @@
 
     fn on_view(&mut self, cx: &mut Cx<'_>, view: Arc<View>) {
         self.view = view;
+        self.view_at = Some(cx.now);
         let resolved = self.commits.on_view(cx, &self.view);
         self.answer_resolved_writes(cx, resolved);
         self.sessions.on_view(cx, &self.view);
--- a/crates/host/src/rpc.rs
+++ b/crates/host/src/rpc.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use decide::call::{Call, Patch, PatchOutcome, Reply};
+use decide::entry::explanation::{ExplainRequest, Explanation};
 use decide::view::FleetStatus;
 use evac::Order;
 use jsonrpsee::core::async_trait;
@@ -141,4 +142,17 @@
         }
         self.call(Call::Evacuation(order)).await.map(|_| ())
     }
+
+    async fn explain(&self, request: ExplainRequest) -> Result<Explanation, ErrorObjectOwned> {
+        match self.calls.call(Call::Explain(request)).await {
+            Reply::Explained(explanation) => Ok(*explanation),
+            Reply::Refused(reason) => Err(refused(reason)),
+            Reply::Unconfirmed => {
+                let code = ErrorCode::InternalError.code();
+                let text = "the traffic part has not answered in time";
+                Err(ErrorObjectOwned::owned(code, text, None::<()>))
+            }
+            other => Err(unexpected_reply(&other)),
+        }
+    }
 }
--- a/crates/peer/src/api.rs
+++ b/crates/peer/src/api.rs
@@ -1,6 +1,7 @@
 //! The JSON-RPC API that every host serves to operators and the platform.
 
 use decide::call::{Patch, PatchOutcome};
+use decide::entry::explanation::{ExplainRequest, Explanation};
 use decide::view::FleetStatus;
 use evac::Order;
 use jsonrpsee::proc_macros::rpc;
@@ -49,6 +50,10 @@
     /// Evacuates a data centre or restores it; succeeds once a quorum has committed the order.
     #[method(name = "evacuation")]
     async fn evacuation(&self, order: Order) -> Result<(), ErrorObjectOwned>;
+
+    /// Returns where this host would send a request now, and why, without sending it.
+    #[method(name = "explain")]
+    async fn explain(&self, request: ExplainRequest) -> Result<Explanation, ErrorObjectOwned>;
 }
 
 /// Returns the error for a call that was refused before it changed anything.
