entry: send reads of the newest state to a primary whose owners left reads unanswered

They were parked for up to 500 ms as long as a replica's owner had left none unanswered, though no replica can serve them, and writes still went to that primary.

--- a/crates/decide/src/entry/explain.rs
+++ b/crates/decide/src/entry/explain.rs
@@ -234,7 +234,7 @@
         let usable = self.usable_upstreams(cx, view, service, needs_primary);
         if let Some(obstacle) = obstacle {
             left_out.push(LeftOut::from_obstacle(cx, obstacle));
-        } else if !may_write(req) && !usable.contains(&id) {
+        } else if !needs_primary && !usable.contains(&id) {
             // Other upstreams have owners that have left no read unanswered.
             left_out.push(LeftOut::new("unanswered"));
         } else if !needs_primary {
--- a/crates/decide/src/entry/pick.rs
+++ b/crates/decide/src/entry/pick.rs
@@ -74,7 +74,12 @@
                 "replicas-behind"
             };
             let usable = self.usable_upstreams(cx, view, service, true);
-            if let Some(id) = primary().filter(|id| usable.contains(&id)) {
+            let is_usable = |id: &UpstreamId| match needs_newest {
+                // No other upstream can serve it, however its owners have left reads unanswered.
+                true => self.has_no_obstacle(cx, view, service, id),
+                false => usable.contains(&id),
+            };
+            if let Some(id) = primary().filter(is_usable) {
                 return Some((id, reason));
             }
             if needs_newest {
@@ -112,6 +117,19 @@
             .usable_upstreams(cx.now, view, &self.checks, service, ignore_behind)
     }
 
+    /// Returns whether a read may be sent to an upstream, also as a last resort.
+    fn has_no_obstacle(
+        &self,
+        cx: &Cx<'_>,
+        view: &View,
+        service: &ServiceView,
+        id: &UpstreamId,
+    ) -> bool {
+        let (failures, checks) = (&self.failures, &self.checks);
+        let obstacle = failures.read_obstacle(cx.now, view, checks, service, id, true);
+        obstacle.is_none()
+    }
+
     /// Returns the primary with the highest term out of the view and the owners' hints.
     pub(super) fn newest_primary<'a>(
         &'a self,
