--- a/crates/decide/src/owner/forward.rs
+++ b/crates/decide/src/owner/forward.rs
@@ -82,7 +82,8 @@
         let Some(own) = self.upstreams.get(&run.upstream) else {
             return false;
         };
-        if !own.owned {
+        // A primary gets reads that replicas were behind for: they would come back.
+        if !own.owned || own.is_primary() {
             return false;
         }
         let live = live_siblings(view, own);
