balance: forward most reads of an instance that fails many of them

An instance that answered a part of its reads with errors kept its whole share, and up to one caller in five got an error. Owners now judge it by the outcomes of its reads, and entry hosts send a failed read to another instance once. Off unless balance.eject_faulty is set.

A test plays one ill instance of each kind without a network.

--- a/crates/balance/src/forward.rs
+++ b/crates/balance/src/forward.rs
@@ -15,6 +15,9 @@
 /// How many reads may be forwarded to a sibling at once after a time without forwarding: the
 /// requests that an instance has slots for, for each of two owners.
 const CREDIT_MAX: f64 = 8.0;
+/// A sibling where the expected wait is longer gets no reads of a faulty instance: a third of the
+/// shortest latency objective in use, so that a service that is short of capacity ejects nothing.
+const EJECT_WAIT_MAX: Duration = Duration::from_millis(50);
 
 /// Another instance of the service.
 #[derive(Clone, Copy, Debug)]
@@ -117,26 +120,15 @@
         own: LoadReport,
         siblings: &[Sibling<'_>],
     ) -> Option<Choice> {
-        let share = 1.0 / (siblings.len() + 1) as f64;
-        for sibling in siblings {
-            let pair = (upstream.clone(), sibling.upstream.clone());
-            let credit = self.credits.entry(pair).or_default();
-            *credit = (*credit + share).min(CREDIT_MAX);
-        }
+        self.add_credits(upstream, siblings);
         let max_age = cfg.max_report_age();
-        let others = self.reports.get(upstream).into_iter().flatten();
-        let others = others.filter(|load| now.duration_since(load.at) <= max_age);
-        let own_wait = others
-            .fold(own, |sum, load| sum.and(load.report))
-            .expected_wait();
+        let own_wait = self.own_wait(now, max_age, upstream, own);
         if own_wait < cfg.forward_after {
             return None;
         }
-        let has_credit = |to: &UpstreamId| {
-            let credit = self.credits.get(&(upstream.clone(), to.clone()));
-            credit.is_some_and(|credit| *credit >= 1.0)
-        };
-        let allowed = siblings.iter().filter(|to| has_credit(to.upstream));
+        let allowed = siblings
+            .iter()
+            .filter(|to| self.credit(upstream, to.upstream) >= 1.0);
         let known = allowed.filter_map(|sibling| {
             let (load, age) = self.known_load(now, max_age, sibling)?;
             Some((load.expected_wait(), !sibling.near, sibling.upstream, age))
@@ -145,18 +137,95 @@
         if (wait.saturating_add(FORWARD_TIME)).saturating_mul(GAIN) > own_wait {
             return None;
         }
-        *self.credits.get_mut(&(upstream.clone(), to.clone()))? -= 1.0;
-        // Until its next report, the sibling counts as having this read too.
-        if let Some(load) = self.reports.get_mut(to).and_then(|all| all.first_mut()) {
-            let work = load.report.mean_work().max(own.mean_work());
-            load.report = load.report.with_one_more(work);
-        }
-        Some(Choice {
+        let choice = Choice {
             upstream: to.clone(),
             own_wait,
             wait,
             age,
-        })
+        };
+        self.spend(upstream, own, &choice);
+        Some(choice)
+    }
+
+    /// Returns the sibling that a new read of a faulty instance is to be forwarded to.
+    ///
+    /// It gets no more reads than in [`Self::choose`]: the share of a random choice. Owners without
+    /// load send no reports, so a sibling that is not known to be loaded counts as idle.
+    pub fn choose_for_faulty(
+        &mut self,
+        now: Instant,
+        cfg: &BalanceSettings,
+        upstream: &UpstreamId,
+        own: LoadReport,
+        siblings: &[Sibling<'_>],
+    ) -> Option<Choice> {
+        self.add_credits(upstream, siblings);
+        let max_age = cfg.max_report_age();
+        let own_wait = self.own_wait(now, max_age, upstream, own);
+        let options = siblings.iter().filter_map(|sibling| {
+            let credit = self.credit(upstream, sibling.upstream);
+            let known = self.known_load(now, max_age, sibling);
+            let (load, age) = known.unwrap_or_default();
+            let wait = load.expected_wait();
+            let usable = credit >= 1.0 && wait <= EJECT_WAIT_MAX && !sibling.owners.is_empty();
+            usable.then_some((wait, !sibling.near, credit, sibling.upstream, age))
+        });
+        let (wait, _, _, to, age) = options.min_by(|a, b| {
+            let order = (a.0, a.1).cmp(&(b.0, b.1));
+            order.then(b.2.total_cmp(&a.2)).then(a.3.cmp(b.3))
+        })?;
+        let choice = Choice {
+            upstream: to.clone(),
+            own_wait,
+            wait,
+            age,
+        };
+        self.spend(upstream, own, &choice);
+        Some(choice)
+    }
+
+    /// Adds the share that a random choice would give each sibling of a read.
+    fn add_credits(&mut self, upstream: &UpstreamId, siblings: &[Sibling<'_>]) {
+        let share = 1.0 / (siblings.len() + 1) as f64;
+        for sibling in siblings {
+            let pair = (upstream.clone(), sibling.upstream.clone());
+            let credit = self.credits.entry(pair).or_default();
+            *credit = (*credit + share).min(CREDIT_MAX);
+        }
+    }
+
+    /// Returns how many reads may be forwarded from an instance to a sibling.
+    fn credit(&self, upstream: &UpstreamId, to: &UpstreamId) -> f64 {
+        let pair = (upstream.clone(), to.clone());
+        self.credits.get(&pair).copied().unwrap_or_default()
+    }
+
+    /// Counts a forwarded read.
+    fn spend(&mut self, upstream: &UpstreamId, own: LoadReport, choice: &Choice) {
+        let pair = (upstream.clone(), choice.upstream.clone());
+        if let Some(credit) = self.credits.get_mut(&pair) {
+            *credit -= 1.0;
+        }
+        // Until its next report, the sibling counts as having this read too.
+        let reports = self.reports.get_mut(&choice.upstream);
+        if let Some(load) = reports.and_then(|all| all.first_mut()) {
+            let work = load.report.mean_work().max(own.mean_work());
+            load.report = load.report.with_one_more(work);
+        }
+    }
+
+    /// Returns the wait that is expected at an owner's own instance.
+    fn own_wait(
+        &self,
+        now: Instant,
+        max_age: Duration,
+        upstream: &UpstreamId,
+        own: LoadReport,
+    ) -> Duration {
+        let others = self.reports.get(upstream).into_iter().flatten();
+        let others = others.filter(|load| now.duration_since(load.at) <= max_age);
+        let all = others.fold(own, |sum, load| sum.and(load.report));
+        all.expected_wait()
     }
 
     /// Returns the work of all owners of a sibling, with the age of the oldest report.
--- a/crates/balance/src/settings.rs
+++ b/crates/balance/src/settings.rs
@@ -14,6 +14,12 @@
     ///
     /// A host of an earlier version drops the link on these messages: upgrade all hosts first.
     pub forward_reads: bool,
+    /// Whether reads of an instance that fails many of them are sent to other instances.
+    ///
+    /// Owners forward most reads of an instance that answers many with errors or resets their
+    /// connections, and a read that failed so is sent to another instance once. A host of an earlier
+    /// version drops the link on these messages: upgrade all hosts first.
+    pub eject_faulty: bool,
     /// The expected wait from which an owner forwards a read.
     ///
     /// The other owner may have to open a connection, which occupies a slot for 12 ms on the first
@@ -30,6 +36,7 @@
         Self {
             preferred_owner: false,
             forward_reads: false,
+            eject_faulty: false,
             forward_after: Duration::from_millis(12),
             report_interval: Duration::from_millis(100),
         }
--- a/crates/decide/src/conn.rs
+++ b/crates/decide/src/conn.rs
@@ -101,6 +101,9 @@
     pub tx: TxStatus,
     /// Why the upstream rejected the request without running it; `None` if it ran.
     pub rejected: Option<UpstreamRejection>,
+    /// Whether the answer is an error that the request has not caused, as far as its code shows: if
+    /// requests of several workspaces get such, the upstream is faulty.
+    pub failed: bool,
     /// The upstream's log position after the request, with upstreams whose answers carry it.
     pub position: Option<Position>,
     /// The upstream's status before the request, if the request waited for a position.
--- a/crates/decide/src/entry.rs
+++ b/crates/decide/src/entry.rs
@@ -6,6 +6,7 @@
 //! usable is parked: it stays here and is tried again after a backoff.
 
 pub mod budget;
+mod failed;
 mod forwarded;
 mod hedge;
 mod last_answers;
@@ -148,6 +149,8 @@
             hedged_at: None,
             answered: false,
             may_have_run: false,
+            failed_at: None,
+            error_answer: None,
         };
         if refusal.is_some() && pending.req.rolls_back {
             let pin = sessions.get_mut(session_id).and_then(|s| s.pin.take());
@@ -197,7 +200,7 @@
                 let verdict = Verdict::NotRun(Refusal::NoUpstream);
                 return answer_without_result(cx, sessions, pending, verdict);
             }
-            return self.park(cx, pending);
+            return self.park(cx, sessions, pending);
         };
         let id = self.requests.next_attempt_id(cx);
         cx.log(SessionLogEvent::Routed {
@@ -236,7 +239,12 @@
     }
 
     /// Keeps a request that no upstream can run now, and schedules its next attempt.
-    fn park(&mut self, cx: &mut Cx<'_>, mut pending: PendingRequest) {
+    ///
+    /// A caller whose read has failed elsewhere gets that error at once.
+    fn park(&mut self, cx: &mut Cx<'_>, sessions: &mut Sessions, mut pending: PendingRequest) {
+        if let Some(error) = pending.error_answer.take() {
+            return answer_caller(cx, sessions, &pending, error);
+        }
         let id = self.requests.next_attempt_id(cx);
         if pending.req.kind == Kind::Write {
             pending.last_refusal = Refusal::NoPrimary;
@@ -375,12 +383,15 @@
                         .record_unavailable(cx.now, &target.upstream, owner);
                 }
                 pending.last_refusal = Refusal::NoUpstream;
+                if may_have_run && cx.settings.balance.eject_faulty {
+                    pending.failed_at = Some(target.upstream);
+                }
                 if pending.attempts <= 1 && self.may_retry(cx) {
                     return self.send_or_park(cx, view, sessions, pending);
                 }
             }
         }
-        self.park(cx, pending);
+        self.park(cx, sessions, pending);
     }
 
     /// Handles the loss of the link to a host, whose pinned transactions are lost.
@@ -450,7 +461,7 @@
         while let Some((id, pending)) = self.requests.remove_due(cx.now) {
             match &pending.target {
                 None if pending.admitted && cx.now < pending.deadline && !self.may_retry(cx) => {
-                    self.park(cx, pending);
+                    self.park(cx, sessions, pending);
                 }
                 None => self.send_or_park(cx, view, sessions, pending),
                 Some(_) if cx.now < pending.deadline => {
--- a/crates/decide/src/entry/pending.rs
+++ b/crates/decide/src/entry/pending.rs
@@ -57,6 +57,10 @@
     pub(crate) answered: bool,
     /// Whether an attempt that has ended may have run, so that the answer "not run" would be wrong.
     pub(crate) may_have_run: bool,
+    /// The upstream at which an attempt has failed; the next ones go to others.
+    pub(crate) failed_at: Option<UpstreamId>,
+    /// The error with which that attempt was answered: the caller's answer if no other one comes.
+    pub(crate) error_answer: Option<Answer>,
 }
 
 impl PendingRequest {
@@ -257,9 +261,12 @@
 pub(crate) fn answer_without_result(
     cx: &mut Cx<'_>,
     sessions: &mut Sessions,
-    pending: PendingRequest,
+    mut pending: PendingRequest,
     verdict: Verdict,
 ) {
+    if let Some(answer) = pending.error_answer.take() {
+        return answer_caller(cx, sessions, &pending, answer);
+    }
     let verdict = match verdict {
         Verdict::NotRun(_) if pending.may_have_run || pending.earlier_attempt.is_some() => {
             Verdict::MayHaveRun
--- a/crates/decide/src/entry/pick.rs
+++ b/crates/decide/src/entry/pick.rs
@@ -1,6 +1,7 @@
 //! Routes requests: to the primary, or to an upstream of the read policy's choice.
 
 use model::{HashMap, Kind, Request, ServiceId, Term, UpstreamId};
+use rand::Rng;
 
 use crate::entry::owner_check::OwnerChecks;
 use crate::entry::pending::{PendingRequest, Target};
@@ -82,6 +83,18 @@
             }
         }
         let usable = self.usable_upstreams(cx, view, service, pending.replica_behind);
+        if let Some(failed_at) = &pending.failed_at {
+            let others = usable.iter().filter(|id| **id != failed_at);
+            let others: Vec<&UpstreamId> = others.copied().collect();
+            // At random, so that a faulty upstream's reads are not all sent to one other upstream.
+            let nth = cx.rng.random_range(0..others.len().max(1));
+            if let Some(other) = others.get(nth) {
+                return Some(((*other).clone(), "after-failure"));
+            }
+            if pending.error_answer.is_some() {
+                return None;
+            }
+        }
         let picked = self.policy.pick(cx, view, service, &usable)?;
         Some(self.failures.replace_loaded(cx, picked, &usable))
     }
--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -14,6 +14,7 @@
 pub(crate) mod dispatch;
 pub(crate) mod drain;
 pub(crate) mod evacuation;
+mod faulty;
 pub(crate) mod forward;
 pub(crate) mod forward_log_event;
 pub(crate) mod held_acks;
--- a/crates/decide/src/owner/conn_events.rs
+++ b/crates/decide/src/owner/conn_events.rs
@@ -14,6 +14,7 @@
 use crate::group::GroupMsg;
 use crate::owner::SharedState;
 use crate::owner::ack_gate::AckDecision;
+use crate::owner::faulty::may_run_again;
 use crate::owner::job::{Job, Pin, RunningJob};
 use crate::owner::log_event::OwnerLogEvent;
 use crate::owner::outcome::{UnusableOutcome, check_outcome, is_retryable_in_transaction};
@@ -153,6 +154,7 @@
                 .last_answer_at
                 .is_some_and(|at| at >= running.started_at);
             let before_deadline = cx.now < running.job.deadline;
+            self.record_outcome(cx, &running.job, true);
             if !answered && (before_deadline || took >= cx.settings.owner.breaker.silent_after) {
                 self.record_failure(cx);
             }
@@ -203,6 +205,9 @@
                 .record_service_time(workspace, running.charge, took),
         }
         self.adjust_limit(cx, running.started_at, outcome.rejected);
+        if outcome.rejected.is_none() {
+            self.record_outcome(cx, &running.job, outcome.failed);
+        }
         self.last_answer_at = Some(cx.now);
         self.breaker.on_success();
         for status in outcome.status_before.iter().chain(&outcome.status_after) {
@@ -283,6 +288,7 @@
                     .job
                     .refuse(cx, Refusal::TransactionLost, "not-primary");
             }
+            Ok(()) if may_run_again(cx, &running, &outcome) => running.job.send_error(cx, outcome),
             Ok(()) if commits => {
                 let lease_time = cx.settings.group.ack_lease;
                 let position = outcome.position;
--- a/crates/decide/src/owner/forward.rs
+++ b/crates/decide/src/owner/forward.rs
@@ -67,7 +67,8 @@
 
 impl<Q: QueueDiscipline, W: WaitPolicy> OwnedUpstreams<Q, W> {
     /// Forwards a read that an entry host has sent to an owner of a sibling instance, if it is
-    /// expected to start sooner there; returns whether it was forwarded.
+    /// expected to start sooner there or if its own instance is faulty; returns whether it was
+    /// forwarded.
     pub(crate) fn forward_read(
         &mut self,
         cx: &mut Cx<'_>,
@@ -76,15 +77,16 @@
         run: &RunRequest,
     ) -> bool {
         let cfg = &cx.settings.balance;
-        if !cfg.forward_reads || !may_be_forwarded(run) {
+        if !(cfg.forward_reads || cfg.eject_faulty) || !may_be_forwarded(run) {
             return false;
         }
-        let Some(own) = self.upstreams.get(&run.upstream) else {
+        let Some(own) = self.upstreams.get_mut(&run.upstream) else {
             return false;
         };
         if !own.owned {
             return false;
         }
+        let is_faulty = cfg.eject_faulty && own.health.turns_away(cx.now);
         let live = live_siblings(view, own);
         let siblings: Vec<Sibling<'_>> = live
             .iter()
@@ -96,7 +98,12 @@
             .collect();
         let load = own.load(cx.now);
         let forwarder = &mut self.forwards.forwarder;
-        let Some(choice) = forwarder.choose(cx.now, cfg, &own.id, load, &siblings) else {
+        let choice = match is_faulty {
+            true => forwarder.choose_for_faulty(cx.now, cfg, &own.id, load, &siblings),
+            false if cfg.forward_reads => forwarder.choose(cx.now, cfg, &own.id, load, &siblings),
+            false => None,
+        };
+        let Some(choice) = choice else {
             return false;
         };
         let chosen = siblings.iter().find(|to| *to.upstream == choice.upstream);
@@ -252,7 +259,8 @@
 
     /// Returns whether reads may be forwarded here.
     fn takes_reads(&self, now: Instant) -> bool {
-        self.accepts_work(now) && !self.unreachable && !self.breaker.is_open()
+        let is_faulty = self.health.share() < 1.0;
+        self.accepts_work(now) && !self.unreachable && !self.breaker.is_open() && !is_faulty
     }
 }
 
@@ -260,7 +268,7 @@
 ///
 /// A read without either needs the primary. A transaction may stay open, and its next statement
 /// must find the owner; a read that must not run twice could not be sent elsewhere after a failure.
-fn may_be_forwarded(run: &RunRequest) -> bool {
+pub(crate) fn may_be_forwarded(run: &RunRequest) -> bool {
     let req = &run.req;
     let any_instance = req.floor.is_some() || req.max_age.is_some();
     req.kind == Kind::Read
--- a/crates/decide/src/owner/forward_log_event.rs
+++ b/crates/decide/src/owner/forward_log_event.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use balance::ShareChange;
 use model::{HostId, UpstreamId};
 
 use crate::log_event::NumberedEvent;
@@ -26,6 +27,13 @@
         /// The age of the load report that this rests on.
         age: Duration,
     },
+    /// The share of an instance's reads that its owner runs there has changed.
+    ShareChanged {
+        /// The instance.
+        upstream: UpstreamId,
+        /// The new share, and the outcomes that it rests on.
+        change: ShareChange,
+    },
     /// Reads were forwarded to a host whose link broke, and were sent back.
     ForwardsLost {
         /// The host.
@@ -40,13 +48,14 @@
         match self {
             Self::Forwarded { .. } => 280,
             Self::ForwardsLost { .. } => 281,
+            Self::ShareChanged { .. } => 282,
         }
     }
 
     fn level(&self) -> log::Level {
         match self {
             Self::Forwarded { .. } => log::Level::Info,
-            Self::ForwardsLost { .. } => log::Level::Warn,
+            Self::ForwardsLost { .. } | Self::ShareChanged { .. } => log::Level::Warn,
         }
     }
 }
@@ -68,6 +77,13 @@
                 wait.as_micros(),
                 age.as_millis()
             ),
+            Self::ShareChanged { upstream, change } => write!(
+                f,
+                "share-changed upstream={upstream} share_percent={:.0} faults={} outcomes={}",
+                change.share * 100.0,
+                change.faults,
+                change.outcomes
+            ),
             Self::ForwardsLost { host, reads } => {
                 write!(f, "forwards-lost host={host} reads={reads}")
             }
--- a/crates/decide/src/owner/upstream.rs
+++ b/crates/decide/src/owner/upstream.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use balance::Health;
 use evac::Ramp;
 use model::{
     Claim, ConnId, HashMap, InstanceStatus, Kind, Position, Request, Role, ServiceId, Term,
@@ -77,6 +78,8 @@
     pub(crate) breaker: Breaker,
     /// How many statements may run at a time, by the instance's busy responses.
     pub(crate) limit: ConcurrencyLimit,
+    /// The outcomes of the last reads, and the share of them that is run here.
+    pub(crate) health: Health,
     /// How fast the queue moves.
     pub(crate) pace: Pace,
     /// When connections may be opened again after a failure.
@@ -116,6 +119,7 @@
             pins: HashMap::default(),
             breaker: Breaker::default(),
             limit: ConcurrencyLimit::default(),
+            health: Health::default(),
             pace: Pace::default(),
             next_open_at: None,
             last_answer_at: None,
--- a/crates/decide/src/relay.rs
+++ b/crates/decide/src/relay.rs
@@ -63,6 +63,14 @@
         /// The sender's own work for it.
         report: LoadReport,
     },
+    /// The answer of a read that may run on another instance: an error of the upstream, which is
+    /// the caller's answer if no other instance gives one.
+    Failed {
+        /// The entry host's number of the attempt.
+        id: RequestId,
+        /// The answer with the error.
+        answer: Answer,
+    },
 }
 
 /// A read that an owner forwards; it is not forwarded again.
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -22,7 +22,7 @@
 const AVOID_LOADED_FOR: Duration = Duration::from_secs(3);
 
 /// The reasons for which an attempt is sent to an upstream, as in event 100.
-pub const ROUTE_REASONS: [&str; 9] = [
+pub const ROUTE_REASONS: [&str; 10] = [
     "pinned",
     "write",
     "no-floor",
@@ -32,6 +32,7 @@
     "no-replica",
     "primary-only",
     "others-loaded",
+    "after-failure",
 ];
 
 /// Chooses the upstream for a read.
--- a/crates/decide/src/session/log_event.rs
+++ b/crates/decide/src/session/log_event.rs
@@ -54,6 +54,19 @@
         /// Time since the request arrived.
         waited: Duration,
     },
+    /// A read was answered with an error of its upstream, and is sent to another one.
+    Failed {
+        /// The caller's session.
+        session: SessionId,
+        /// The request's number in the session.
+        request: RequestId,
+        /// The caller's own id of the request, as a log field.
+        label: Arc<str>,
+        /// The upstream that answered.
+        upstream: UpstreamId,
+        /// Time since the request arrived.
+        waited: Duration,
+    },
     /// An owner has left a check unanswered and gets no requests for a time.
     OwnerSilent {
         /// The owner.
@@ -112,6 +125,7 @@
             Self::OwnerHeard { .. } => 105,
             Self::Login { .. } => 110,
             Self::Ended { .. } => 111,
+            Self::Failed { .. } => 283,
         }
     }
 
@@ -173,6 +187,17 @@
                 "hedged session={session} request={request} id={label} upstream={upstream} owner={owner} waited_ms={}",
                 waited.as_millis()
             ),
+            Self::Failed {
+                session,
+                request,
+                label,
+                upstream,
+                waited,
+            } => write!(
+                f,
+                "read-failed session={session} request={request} id={label} upstream={upstream} waited_ms={}",
+                waited.as_millis()
+            ),
             Self::OwnerSilent { owner, waiting } => {
                 write!(f, "owner-silent owner={owner} waiting={waiting}")
             }
--- a/crates/decide/src/traffic.rs
+++ b/crates/decide/src/traffic.rs
@@ -187,6 +187,10 @@
                 upstream,
                 owner,
             } => self.entry.on_forwarded(cx, &from, id, upstream, owner),
+            RelayMsg::Failed { id, answer } => {
+                self.entry
+                    .on_failed(cx, &self.view, &mut self.sessions, id, answer);
+            }
             RelayMsg::Load { upstream, report } => {
                 self.owners
                     .on_load_report(cx, &self.view, &from, &upstream, report);
--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -7,7 +7,8 @@
 
 use decide::Settings;
 use decide::owner::CapacitySource;
-use overload_world::{Day, Second, World, primary_capacity};
+use overload_world::callers::primary_capacity;
+use overload_world::{Day, Second, World};
 
 const SEEDS: [u64; 3] = [1, 2, 3];
 
@@ -24,6 +25,7 @@
         burst_factor: 1.7,
         idle_transactions: secs(9)..secs(14),
         busy_replica: secs(24)..secs(24),
+        ill: None,
         length: secs(24),
     }
 }
--- a/crates/decide/tests/overload_world/callers.rs
+++ b/crates/decide/tests/overload_world/callers.rs
@@ -9,6 +9,7 @@
 use model::{Answer, Kind, Request, Verdict};
 use rand::Rng;
 
+use super::ill::ERROR;
 use super::instance::{OPEN_TIME, SLOTS};
 use super::{HOSTS, SimEvent, World};
 
@@ -19,10 +20,10 @@
 const RETRY_WAIT: Duration = Duration::from_millis(20);
 
 /// A type of request: its share of the load, rule, work and how many of it write.
-pub(super) struct RequestType {
-    pub(super) share: f64,
+pub(crate) struct RequestType {
+    pub(crate) share: f64,
     pub(super) reads: ReadRule,
-    pub(super) work_ms: f64,
+    pub(crate) work_ms: f64,
     pub(super) writes: f64,
     pub(super) timeout: Duration,
     pub(super) objective: Duration,
@@ -31,7 +32,7 @@
 const STALE: Duration = Duration::from_millis(1500);
 const SESSION_STALE: Duration = Duration::from_millis(2500);
 /// Move commit, lobby browse and score settle of `docs/HARD-LOAD.md`.
-pub(super) const TYPES: [RequestType; 3] = [
+pub(crate) const TYPES: [RequestType; 3] = [
     RequestType {
         share: 0.15,
         reads: ReadRule::Newest,
@@ -180,15 +181,20 @@
         let in_time = self.now <= deadline;
         let second = &mut self.seconds[op.started.as_secs() as usize];
         let is_read = op.kind == Kind::Read;
-        second.served += u32::from(answer.verdict == Verdict::Ran && in_time);
+        let is_error = answer.payload[..] == *ERROR;
+        let ran = answer.verdict == Verdict::Ran && !is_error;
+        second.errors += u32::from(is_error);
+        second.rejected += u32::from(matches!(answer.verdict, Verdict::NotRun(_)));
+        second.served += u32::from(ran && in_time);
         let RequestType { objective, .. } = TYPES[op.request_type];
         let is_prompt = self.now - op.started <= objective;
-        second.prompt += u32::from(answer.verdict == Verdict::Ran && is_prompt);
+        second.prompt += u32::from(ran && is_prompt);
         let is_late = self.now - op.sent > objective / 4;
         second.late_refusals += u32::from(matches!(answer.verdict, Verdict::NotRun(_)) && is_late);
         second.unclear_reads += u32::from(answer.verdict == Verdict::MayHaveRun && is_read);
         let may_retry = match answer.verdict {
-            Verdict::Ran => false,
+            // An error promises that nothing was kept.
+            Verdict::Ran => is_error,
             Verdict::NotRun(_) => true,
             Verdict::MayHaveRun => is_read,
         };
--- a/crates/decide/tests/overload_world/fleet.rs
+++ b/crates/decide/tests/overload_world/fleet.rs
@@ -25,8 +25,9 @@
     }
 }
 
-/// Returns the fleet, with the number of connections that the owners of the primary may use.
-pub(super) fn view(primary_connections: u32) -> View {
+/// Returns the fleet, with the number of connections that the owners of the primary may use, and
+/// the instance that announces that it drains.
+pub(super) fn view(primary_connections: u32, draining: Option<usize>) -> View {
     let workspaces = (0..WORKSPACES).map(|index| {
         let key = KeyDigest::of(format!("k{index}"));
         let workspace = Workspace {
@@ -86,7 +87,7 @@
             sequence: 1,
             role: None,
             warming: false,
-            draining: false,
+            draining: draining == Some(index),
             leaving: false,
         };
         let up = UpstreamView {
--- a/crates/decide/tests/overload_world/mod.rs
+++ b/crates/decide/tests/overload_world/mod.rs
@@ -1,9 +1,12 @@
 //! One service of three instances, six entry hosts that also own them, and callers that retry, on a
-//! simulated clock: replicas that lag, a burst, and connections that belong to workspaces.
+//! simulated clock: replicas that lag, a burst, an ill instance, and connections that belong to
+//! workspaces.
+#![allow(dead_code, reason = "not every test needs every helper")]
 
-mod callers;
+pub(crate) mod callers;
 mod fleet;
-mod instance;
+pub(crate) mod ill;
+pub(crate) mod instance;
 mod upstreams;
 
 use std::collections::{BTreeMap, HashMap};
@@ -23,11 +26,10 @@
 
 use callers::Op;
 use fleet::{host_info, view};
+use ill::Ill;
 use instance::{Instance, Work};
 use upstreams::Conn;
 
-pub(crate) use callers::primary_capacity;
-
 const HOSTS: usize = 6;
 /// Connections that an instance accepts, and that the primary has left beside idle transactions.
 ///
@@ -39,7 +41,7 @@
 const HOP: Duration = Duration::from_millis(1);
 
 /// The load and the troubles of a simulated day.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Day {
     pub(crate) requests_per_s: f64,
     /// When both replicas receive nothing.
@@ -51,6 +53,7 @@
     pub(crate) idle_transactions: Range<Duration>,
     /// When one replica answers everything busy.
     pub(crate) busy_replica: Range<Duration>,
+    pub(crate) ill: Option<Ill>,
     pub(crate) length: Duration,
 }
 
@@ -66,6 +69,14 @@
     pub(crate) late_refusals: u32,
     /// Reads of which the caller was told that they may have run.
     pub(crate) unclear_reads: u32,
+    /// Errors of an instance that were passed on.
+    pub(crate) errors: u32,
+    /// Attempts that were answered as not run.
+    pub(crate) rejected: u32,
+    /// Reads that were given to any instance in that second, and to each one.
+    pub(crate) reads: [u32; HOSTS / 2],
+    /// Connections that an instance reset, or statements that it answered with an error.
+    pub(crate) faults: u32,
     /// Connections that were opened in that second.
     pub(crate) opened: u32,
     /// Statements and connections that an instance answered busy in that second.
@@ -77,9 +88,14 @@
     Arrival,
     /// The primary has this many connections left beside idle transactions.
     ConnectionsLeft(u32),
+    /// The ill instance announces that it drains, or that it is ready.
+    Announces {
+        draining: bool,
+    },
     Send(Op),
     Deliver(usize, Box<Event>),
     Finished(usize, Work),
+    Held(usize, Work, Duration),
     RunTimeout(ConnId, u64),
 }
 
@@ -95,6 +111,8 @@
     start: Instant,
     now: Duration,
     rng: SmallRng,
+    primary_connections: u32,
+    draining: bool,
     hosts: Vec<Host>,
     instances: Vec<Instance>,
     schedule: BTreeMap<(Duration, u64), SimEvent>,
@@ -131,6 +149,8 @@
             start: Instant::now() + Duration::from_secs(3600),
             now: Duration::ZERO,
             rng: SmallRng::seed_from_u64(seed),
+            primary_connections: CONNECTIONS,
+            draining: false,
             hosts: hosts.collect(),
             instances: (0..HOSTS / 2).map(|_| Instance::default()).collect(),
             schedule: BTreeMap::new(),
@@ -144,7 +164,8 @@
             seconds: vec![Second::default(); seconds],
         };
         let idle = world.day.idle_transactions.clone();
-        world.publish(CONNECTIONS);
+        world.publish();
+        world.schedule_announcements();
         world.at(
             idle.start,
             SimEvent::ConnectionsLeft(CONNECTIONS_BESIDE_IDLE),
@@ -154,8 +175,10 @@
         world
     }
 
-    fn publish(&mut self, primary_connections: u32) {
-        let view = Arc::new(view(primary_connections));
+    fn publish(&mut self) {
+        let ill = self.day.ill.as_ref().filter(|_| self.draining);
+        let draining = ill.map(|ill| ill.instance);
+        let view = Arc::new(view(self.primary_connections, draining));
         for host in 0..HOSTS {
             self.handle(host, Event::View(view.clone()));
         }
@@ -206,10 +229,18 @@
     fn step(&mut self, event: SimEvent) {
         match event {
             SimEvent::Arrival => self.on_arrival(),
-            SimEvent::ConnectionsLeft(count) => self.publish(count),
+            SimEvent::ConnectionsLeft(count) => {
+                self.primary_connections = count;
+                self.publish();
+            }
+            SimEvent::Announces { draining } => {
+                self.draining = draining;
+                self.publish();
+            }
             SimEvent::Send(op) => self.send(op),
             SimEvent::Deliver(host, event) => self.handle(host, *event),
             SimEvent::Finished(instance, work) => self.on_finished(instance, work),
+            SimEvent::Held(instance, work, time) => self.on_held(instance, work, time),
             SimEvent::RunTimeout(conn, run) => {
                 if self
                     .conns
--- a/crates/decide/tests/overload_world/upstreams.rs
+++ b/crates/decide/tests/overload_world/upstreams.rs
@@ -8,6 +8,7 @@
 use decide::upstream_query::QueryReply;
 use model::{ConnId, InstanceStatus, Position, Role, TxStatus};
 
+use super::ill::{self, ERROR};
 use super::instance::{OPEN_TIME, Work};
 use super::{CONNECTIONS, SimEvent, World};
 
@@ -41,6 +42,10 @@
 
     /// Gives an instance work; returns whether it accepts it.
     pub(super) fn give(&mut self, instance: usize, work: Work, time: Duration) -> bool {
+        let time = self.slowed(instance, time);
+        if self.hold(instance, work, time) {
+            return true;
+        }
         let refuses = instance == 1 && self.day.busy_replica.contains(&self.now);
         let accepted = match refuses {
             true => Err(()),
@@ -54,6 +59,9 @@
     }
 
     pub(super) fn on_finished(&mut self, instance: usize, work: Work) {
+        if let Some(until) = self.silent_until(instance) {
+            return self.at(until, SimEvent::Finished(instance, work));
+        }
         if let Some((next, time)) = self.instances[instance].finish() {
             self.at(self.now + time, SimEvent::Finished(instance, next));
         }
@@ -74,7 +82,10 @@
                     .get(&conn)
                     .is_some_and(|conn| conn.run == Some(run))
                 {
-                    self.respond(conn, None);
+                    let is_error = self.strikes(instance, ill::errors);
+                    self.second().faults += u32::from(is_error);
+                    let payload = if is_error { ERROR } else { &[] };
+                    self.respond(conn, payload, None);
                 }
             }
             Work::Status(host, id) => {
@@ -106,16 +117,22 @@
     }
 
     /// Ends the run of a connection with a result or a rejection.
-    pub(super) fn respond(&mut self, conn: ConnId, rejected: Option<UpstreamRejection>) {
+    pub(super) fn respond(
+        &mut self,
+        conn: ConnId,
+        payload: &'static [u8],
+        rejected: Option<UpstreamRejection>,
+    ) {
         let Some(state) = self.conns.get_mut(&conn) else {
             return;
         };
         state.run = None;
         let (host, instance) = (state.host, state.instance);
         let outcome = RunOutcome {
-            payload: Bytes::new(),
+            payload: Bytes::from_static(payload),
             tx: TxStatus::Idle,
             rejected,
+            failed: !payload.is_empty(),
             position: Some(Position::new(1, self.position(instance))),
             status_before: None,
             status_after: None,
@@ -137,6 +154,9 @@
 
     pub(super) fn on_open(&mut self, host: usize, conn: ConnId, instance: usize) {
         let work = Work::Open(conn);
+        if self.strikes(instance, ill::resets) {
+            return self.fail_open(host, conn);
+        }
         let exhausted = self.instances[instance].conns >= CONNECTIONS;
         if exhausted || !self.give(instance, work, OPEN_TIME) {
             let no_connections_left = true;
@@ -174,14 +194,33 @@
         state.run = Some(run);
         let instance = state.instance;
         if floor.is_some_and(|floor| self.position(instance) < floor) {
-            return self.respond(conn, Some(UpstreamRejection::Behind));
+            return self.respond(conn, &[], Some(UpstreamRejection::Behind));
         }
         let work = Duration::from_micros(u64::from_be_bytes(payload[..8].try_into().unwrap()));
         let writes = payload[8] == 1;
-        if self.give(instance, Work::Run(conn, run), work) {
+        self.second().reads[instance] += u32::from(!writes);
+        if self.strikes(instance, ill::resets) {
+            self.second().faults += 1;
+            return self.reset(conn);
+        }
+        let is_busy = self.strikes(instance, ill::busy);
+        self.second().busy += u32::from(is_busy);
+        if !is_busy && self.give(instance, Work::Run(conn, run), work) {
             self.runs.insert(run, (work, writes));
             return self.at(self.now + timeout, SimEvent::RunTimeout(conn, run));
         }
+        self.refuse_as_busy(conn, writes);
+    }
+
+    /// Answers the run of a connection busy after it was held.
+    pub(super) fn respond_busy(&mut self, conn: ConnId, run: u64) {
+        let is_running = |conn: &Conn| conn.run == Some(run);
+        if self.conns.get(&conn).is_some_and(is_running) {
+            self.refuse_as_busy(conn, false);
+        }
+    }
+
+    fn refuse_as_busy(&mut self, conn: ConnId, writes: bool) {
         let (now, position) = (self.now, self.position(0));
         let state = self.conns.get_mut(&conn).unwrap();
         let earlier = state.busy_write.filter(|_| writes);
@@ -189,6 +228,6 @@
             return self.lose(conn, LossReason::OutOfStep);
         }
         state.busy_write = Some((now, position));
-        self.respond(conn, Some(UpstreamRejection::Busy));
+        self.respond(conn, &[], Some(UpstreamRejection::Busy));
     }
 }
--- a/crates/decide/tests/owner_chaos/mod.rs
+++ b/crates/decide/tests/owner_chaos/mod.rs
@@ -309,6 +309,7 @@
                     true => UpstreamRejection::Busy,
                     false => UpstreamRejection::NotPrimary,
                 }),
+                failed: false,
                 position: None,
                 status_before: Some(status.clone()),
                 status_after: Some(status),
--- a/crates/decide/tests/owner_harness/mod.rs
+++ b/crates/decide/tests/owner_harness/mod.rs
@@ -329,6 +329,7 @@
                     rejected: line
                         .has_flag("refused")
                         .then_some(decide::conn::UpstreamRejection::NotPrimary),
+                    failed: false,
                     position: None,
                     status_before: line.value("before").map(parse_status),
                     status_after: line.value("after").map(parse_status),
--- a/crates/decide/tests/owner_load/mod.rs
+++ b/crates/decide/tests/owner_load/mod.rs
@@ -106,6 +106,7 @@
                     payload: Bytes::new(),
                     tx: TxStatus::Idle,
                     rejected: None,
+                    failed: false,
                     position: None,
                     status_before: None,
                     status_after: None,
--- a/crates/host/src/link_reader.rs
+++ b/crates/host/src/link_reader.rs
@@ -118,7 +118,9 @@
 fn attach_charge(msg: &mut Msg, budget: &Budget) {
     let payload: &mut Bytes = match msg {
         Msg::Relay(RelayMsg::Run(run)) => &mut run.req.payload,
-        Msg::Relay(RelayMsg::Answer { answer, .. }) => &mut answer.payload,
+        Msg::Relay(RelayMsg::Answer { answer, .. } | RelayMsg::Failed { answer, .. }) => {
+            &mut answer.payload
+        }
         _ => return,
     };
     if !payload.is_empty() {
--- a/crates/host/src/pg_adapter.rs
+++ b/crates/host/src/pg_adapter.rs
@@ -95,6 +95,7 @@
                     rejected: collected
                         .refused_read_only
                         .then_some(UpstreamRejection::NotPrimary),
+                    failed: collected.upstream_failed,
                     position: None,
                     status_before: collected.status_before,
                     status_after: collected.status_after,
--- a/crates/pg/src/upstream.rs
+++ b/crates/pg/src/upstream.rs
@@ -13,6 +13,13 @@
 /// The SQLSTATE `read_only_sql_transaction`: an upstream that isn't primary refuses a write.
 const READ_ONLY_SQLSTATE: &str = "25006";
 
+/// The classes of SQLSTATE that say nothing of the request: insufficient resources, operator
+/// intervention, system errors and internal errors.
+const UPSTREAM_ERROR_CLASSES: [&str; 4] = ["53", "57", "58", "XX"];
+/// The SQLSTATE `query_canceled`, of the class for operator intervention: a time limit of the
+/// request's own session causes it too.
+const QUERY_CANCELED_SQLSTATE: &str = "57014";
+
 /// Why the answers of an upstream can't be passed on.
 #[derive(Debug, thiserror::Error)]
 pub enum AnswerError {
@@ -77,6 +84,7 @@
     limit: usize,
     tx: TxStatus,
     refused_read_only: bool,
+    upstream_failed: bool,
     /// Whether a statement of the request has completed.
     any_completed: bool,
     status_before: Option<InstanceStatus>,
@@ -100,6 +108,8 @@
     pub tx: TxStatus,
     /// Whether the upstream, not being primary, refused the request before any of it ran.
     pub refused_read_only: bool,
+    /// Whether the answer ends with an error that the request has not caused, by its class.
+    pub upstream_failed: bool,
     /// The status before the request, if it was asked for.
     pub status_before: Option<InstanceStatus>,
     /// The status after the request, if it was asked for.
@@ -124,6 +134,7 @@
             limit,
             tx: TxStatus::Idle,
             refused_read_only: false,
+            upstream_failed: false,
             any_completed: false,
             status_before: None,
             status_after: None,
@@ -167,6 +178,7 @@
             payload: self.buf.split().freeze(),
             tx: self.tx,
             refused_read_only: self.refused_read_only,
+            upstream_failed: self.upstream_failed,
             status_before: self.status_before.take(),
             status_after: self.status_after.take(),
         }))
@@ -186,6 +198,11 @@
                 let state = error.fields.iter().find(|(code, _)| *code == b'C');
                 let read_only = state.is_some_and(|(_, state)| state == READ_ONLY_SQLSTATE);
                 self.refused_read_only = read_only && !self.any_completed;
+                self.upstream_failed = state.is_some_and(|(_, state)| {
+                    let mut classes = UPSTREAM_ERROR_CLASSES.iter();
+                    state != QUERY_CANCELED_SQLSTATE
+                        && classes.any(|class| state.starts_with(class))
+                });
             }
             PgWireBackendMessage::CopyInResponse(_) | PgWireBackendMessage::CopyBothResponse(_) => {
                 return Err(AnswerError::Copy);
