--- a/crates/decide/src/entry/bounce.rs
+++ b/crates/decide/src/entry/bounce.rs
@@ -91,12 +91,15 @@
                         .record_unavailable(cx.now, &target.upstream, owner);
                 }
                 pending.last_refusal = Refusal::NoUpstream;
+                if may_have_run && cx.settings.balance.eject_faulty {
+                    pending.failed_at = Some(target.upstream);
+                }
                 if pending.attempts <= 1 && self.may_retry(cx) {
                     return self.send_or_park(cx, view, sessions, pending);
                 }
             }
         }
-        self.park(cx, pending);
+        self.park(cx, sessions, pending);
     }
 
     /// Handles the loss of the link to a host, whose pinned transactions are lost.
