raft: let an election last as long as the writes of its votes

Where a sync takes about as long as an election timeout (300 to 600 ms), elections ended one another: a candidate whose own vote was still being written started a pre-vote after its timeout and ignored the votes that came later, and members whose vote was being written granted pre-votes for the next term at once.

Three rules change:

- A member with an unsynced write starts no pre-vote.
- It grants none either.
A pre-vote announces a vote, which can't follow before the write is synced.
Where the disks of a quorum work, nothing is lost by this: no other quorum can elect a leader.
- A candidate goes on counting the votes of its term while it collects pre-votes for the next one.
A vote for a member in a term is valid as long as the member is in that term.
Only votes of an election that this run has started count, and none once it has led or followed in that term, so that no member leads twice in a term with a log that may have lost entries of it.

--- a/crates/decide/src/raft/election.rs
+++ b/crates/decide/src/raft/election.rs
@@ -15,25 +15,36 @@
 /// The votes or pre-votes that a candidate has collected.
 #[derive(Debug)]
 pub(crate) struct CandidateState {
-    /// Members that granted their vote or pre-vote, the candidate itself included.
-    granted_by: BTreeSet<Member>,
-    /// Whether these are pre-votes.
-    pre_vote: bool,
-    /// The write that must be synced before the candidate's own vote counts; `None` once it counts.
+    /// Members that granted their vote in the current term, the candidate itself included; `None`
+    /// unless this run has started an election in this term and has not led in it since. A member
+    /// that has led in a term must not lead in it again: its log may have lost entries of the term.
+    votes: Option<BTreeSet<Member>>,
+    /// Members that granted their pre-vote for the next term, the candidate itself included.
+    pre_votes: BTreeSet<Member>,
+    /// The write that must be synced before the candidate's own vote counts; `None` once it counts,
+    /// and where there is none.
     own_vote_counts_after: Option<WriteId>,
 }
 
 impl Raft {
     /// Starts a pre-vote, so that a member that can't win disturbs no leader with a new term.
+    ///
+    /// A member with an unsynced write waits: it could not vote for itself in time, and may be about
+    /// to win the election whose vote it is writing, or to let another member win it. Votes of the
+    /// current term go on counting during the pre-vote, since disks may take longer than a timeout.
     pub(crate) fn start_pre_vote(&mut self, cx: &mut Cx<'_>) {
         self.reset_election_timeout(cx);
         self.discover_members(cx);
-        if !self.may_campaign() {
+        if !self.may_campaign() || !self.write_batcher.is_synced() {
             return;
         }
+        let votes = match &mut self.role {
+            RaftRole::Candidate(candidate) => candidate.votes.take(),
+            RaftRole::Follower(_) | RaftRole::Leader(_) => None,
+        };
         let candidate = CandidateState {
-            granted_by: BTreeSet::from([self.me.clone()]),
-            pre_vote: true,
+            votes,
+            pre_votes: BTreeSet::from([self.me.clone()]),
             own_vote_counts_after: None,
         };
         self.role = RaftRole::Candidate(candidate);
@@ -58,8 +69,8 @@
         self.set_hard_state(term, Some(self.me.clone()));
         cx.log(RaftLogEvent::Candidate { term });
         self.role = RaftRole::Candidate(CandidateState {
-            granted_by: BTreeSet::new(),
-            pre_vote: false,
+            votes: Some(BTreeSet::new()),
+            pre_votes: BTreeSet::new(),
             own_vote_counts_after: Some(self.write_batcher.covering_write()),
         });
         self.request_votes(cx, term, false);
@@ -96,12 +107,17 @@
             .is_some_and(|write| write <= synced)
         {
             candidate.own_vote_counts_after = None;
-            candidate.granted_by.insert(self.me.clone());
+            if let Some(votes) = &mut candidate.votes {
+                votes.insert(self.me.clone());
+            }
             self.check_vote_quorum(cx);
         }
     }
 
     /// Grants or denies a vote or pre-vote; denies both while a leader is live.
+    ///
+    /// A pre-vote is also denied while a write is unsynced: the vote could not follow before that,
+    /// and the election to which the write belongs must not be ended by one in a higher term.
     pub(crate) fn on_request_vote(
         &mut self,
         cx: &mut Cx<'_>,
@@ -110,11 +126,15 @@
         last_entry: EntryId,
         pre_vote: bool,
     ) {
-        let granted = !self.has_live_leader(cx) && last_entry >= self.log.last_id() && {
-            let can_vote = self.hard_state.voted_for.is_none()
-                || self.hard_state.voted_for.as_ref() == Some(&from);
-            term > self.hard_state.term || (!pre_vote && term == self.hard_state.term && can_vote)
-        };
+        let granted = !self.has_live_leader(cx)
+            && last_entry >= self.log.last_id()
+            && {
+                let can_vote = self.hard_state.voted_for.is_none()
+                    || self.hard_state.voted_for.as_ref() == Some(&from);
+                term > self.hard_state.term
+                    || (!pre_vote && term == self.hard_state.term && can_vote)
+            }
+            && (!pre_vote || self.write_batcher.is_synced());
         if pre_vote {
             let term = if granted { term } else { self.hard_state.term };
             self.send_now(
@@ -174,27 +194,32 @@
         let RaftRole::Candidate(candidate) = &mut self.role else {
             return;
         };
-        if granted && candidate.pre_vote == pre_vote && term == requested_term {
-            candidate.granted_by.insert(from);
-            self.check_vote_quorum(cx);
+        if granted && term == requested_term {
+            let granted_by = if pre_vote {
+                Some(&mut candidate.pre_votes)
+            } else {
+                candidate.votes.as_mut()
+            };
+            if let Some(granted_by) = granted_by {
+                granted_by.insert(from);
+                self.check_vote_quorum(cx);
+            }
         }
     }
 
-    /// Starts the election after a quorum of pre-votes, or becomes leader after a quorum of votes.
+    /// Becomes leader after a quorum of votes, or else starts an election after a quorum of pre-votes.
     fn check_vote_quorum(&mut self, cx: &mut Cx<'_>) {
         let RaftRole::Candidate(candidate) = &self.role else {
             return;
         };
-        if !self
-            .membership
-            .has_quorum(|voter| candidate.granted_by.contains(voter))
-        {
-            return;
-        }
-        if candidate.pre_vote {
-            self.start_election(cx);
-        } else {
+        let has_quorum = |granted_by: &BTreeSet<Member>| {
+            self.membership
+                .has_quorum(|voter| granted_by.contains(voter))
+        };
+        if candidate.votes.as_ref().is_some_and(has_quorum) {
             self.become_leader(cx);
+        } else if has_quorum(&candidate.pre_votes) {
+            self.start_election(cx);
         }
     }
 
--- a/crates/decide/src/raft/write_batcher.rs
+++ b/crates/decide/src/raft/write_batcher.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Returns whether nothing is pending or in flight.
+    pub(crate) fn is_synced(&self) -> bool {
+        !self.has_pending && self.in_flight.is_none()
+    }
+
     /// Returns the last write that is synced.
     pub(crate) fn last_synced_write(&self) -> WriteId {
         match &self.in_flight {
--- a/crates/decide/tests/raft/main.rs
+++ b/crates/decide/tests/raft/main.rs
@@ -16,3 +16,4 @@
 mod random_faults;
 mod scripts;
 mod simulation;
+mod slow_disks;
