raft: answer the round of a heartbeat before a lasting write is synced

A member's answers wait for its unsynced writes.

A member now also answers a heartbeat without entries at once while a write is unsynced. This answer confirms the log only up to what is both committed and synced. A round shows that no leader of a higher term had been elected when it was started: the voters of such a leader had its term in memory before they sent their votes, and have it on disk after a restart. So the answer relies on nothing that is yet to be written. An entry still counts for commits only once it is synced.

The leader takes such an answer neither for a reason to send entries again nor for a sign that the member keeps up, so that a voter whose disk is full is still removed after lost_after.

--- a/crates/decide/src/raft/append.rs
+++ b/crates/decide/src/raft/append.rs
@@ -34,6 +34,7 @@
         if log_matches {
             self.commit_up_to(cx, append.leader_commit.min(match_hint));
             self.raise_confirmation(cx, &append);
+            self.answer_round_before_sync(cx, &from, &append);
         }
         self.send_reply_when_synced(cx, &from, round, log_matches, match_hint);
     }
@@ -81,18 +82,42 @@
         log_matches: bool,
         match_hint: LogIndex,
     ) {
+        let reply = self.append_entries_reply(cx, round, log_matches, match_hint);
+        self.send_after_write(to, reply);
+    }
+
+    /// Answers the round of a heartbeat at once while a write is unsynced, so that the leader does
+    /// not lose its quorum to slow disks.
+    ///
+    /// It confirms no entry beyond the synced ones that are committed. That no leader of a higher
+    /// term was known here when the round was started is true whatever is synced.
+    fn answer_round_before_sync(&self, cx: &mut Cx<'_>, to: &Member, append: &AppendEntries) {
+        if !append.entries.is_empty() || self.write_batcher.is_synced() {
+            return;
+        }
+        let match_hint = self.commit_index.min(self.write_batcher.synced_index());
+        let reply = self.append_entries_reply(cx, append.round, true, match_hint);
+        self.send_now(cx, to, reply);
+    }
+
+    fn append_entries_reply(
+        &self,
+        cx: &Cx<'_>,
+        round: ConfirmationRound,
+        log_matches: bool,
+        match_hint: LogIndex,
+    ) -> MemberMsg {
         let sent_at = LocalTimestamp {
             incarnation: cx.me.incarnation,
             since_start: cx.now.saturating_duration_since(self.created_at),
         };
-        let reply = AppendEntriesReply {
+        MemberMsg::AppendEntriesReply(AppendEntriesReply {
             term: self.hard_state.term,
             round,
             log_matches,
             match_hint,
             sent_at,
-        };
-        self.send_after_write(to, MemberMsg::AppendEntriesReply(reply));
+        })
     }
 
     /// Merges entries into the log, and returns whether the logs agree and the hint for the
--- a/crates/decide/src/raft/leader.rs
+++ b/crates/decide/src/raft/leader.rs
@@ -49,13 +49,14 @@
     next_index: LogIndex,
     /// Until when no further entries are sent unless the last ones are answered.
     append_in_flight_until: Option<Instant>,
-    /// How often entries were sent since the last answer; the interval doubles with each time.
+    /// How often entries were sent since the last answer that counts in `last_heard_at`; the interval doubles with each time.
     unanswered_appends: u32,
     /// Until when no snapshot is sent again unless the last one is answered.
     snapshot_in_flight_until: Option<Instant>,
     /// The newest round that the member has answered.
     answered_round: ConfirmationRound,
-    /// When its last answer came.
+    /// When its last answer came, except for answers to rounds while it has not confirmed the last
+    /// entries or snapshot.
     pub(crate) last_heard_at: Option<Instant>,
     /// A timestamp of the member after whose arrival no new round is confirmed yet, and when it
     /// came.
@@ -84,6 +85,11 @@
             .is_some_and(|until| now < until)
     }
 
+    /// Returns whether the member has not confirmed the last entries or snapshot that it was sent.
+    fn has_unconfirmed(&self) -> bool {
+        self.append_in_flight_until.is_some() || self.snapshot_in_flight_until.is_some()
+    }
+
     /// Keeps the timestamp of an answer until a round that was started after its arrival is
     /// confirmed; later timestamps are dropped until then. `confirmed_at` is the start of the
     /// newest confirmed round.
@@ -254,11 +260,17 @@
             return;
         }
         peer.answered_round = peer.answered_round.max(reply.round);
+        peer.record_timestamp(reply.sent_at, cx.now, leader.confirmed_round.1);
+        let match_index = reply.match_hint.min(last_index);
+        // A member whose write lasts answers rounds before it has synced what it was sent. That
+        // must neither have it sent again nor count as a sign that the member keeps up.
+        if reply.log_matches && match_index <= peer.match_index && peer.has_unconfirmed() {
+            return self.confirm_answered_rounds(cx);
+        }
         peer.last_heard_at = Some(cx.now);
         peer.unanswered_appends = 0;
-        peer.record_timestamp(reply.sent_at, cx.now, leader.confirmed_round.1);
         if reply.log_matches {
-            peer.match_index = peer.match_index.max(reply.match_hint.min(last_index));
+            peer.match_index = peer.match_index.max(match_index);
             peer.next_index = peer.match_index + 1;
             peer.append_in_flight_until = None;
             peer.snapshot_in_flight_until = None;
--- a/crates/decide/src/raft/msg.rs
+++ b/crates/decide/src/raft/msg.rs
@@ -131,6 +131,9 @@
 }
 
 /// The answer to `AppendEntries` or `InstallSnapshot`, sent after the entries are synced.
+///
+/// A heartbeat that comes during a write is also answered at once, with a `match_hint` that leaves
+/// out what is not synced.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AppendEntriesReply {
     /// The member's term.
--- a/crates/decide/tests/raft/random_faults.rs
+++ b/crates/decide/tests/raft/random_faults.rs
@@ -10,10 +10,12 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
-use crate::harness::{FAULTLESS, FAULTY, Sim, service_patch};
+use crate::harness::{Conditions, FAULTLESS, FAULTY, Sim, service_patch};
 
 /// Number of seeds to run unless an environment variable sets them.
 const DEFAULT_SEEDS: u64 = 60;
+/// The same for slow disks.
+const DEFAULT_SEEDS_SLOW_DISKS: u64 = 30;
 /// How long a removal may be pending: `call_timeout` on the host that took the call, then again at
 /// a leader.
 const MAX_REMOVAL_TIME: Duration = Duration::from_secs(11);
@@ -26,12 +28,26 @@
 
 #[test]
 fn nothing_committed_is_lost_under_random_faults() {
+    run_seeds(DEFAULT_SEEDS, &FAULTY);
+}
+
+/// Guards the answers and votes that are sent or counted while writes are unsynced.
+#[test]
+fn nothing_committed_is_lost_under_random_faults_with_slow_disks() {
+    let slow_disks = Conditions {
+        max_sync_time: Duration::from_millis(400),
+        ..FAULTY
+    };
+    run_seeds(DEFAULT_SEEDS_SLOW_DISKS, &slow_disks);
+}
+
+fn run_seeds(default_seeds: u64, conditions: &Conditions) {
     let seeds = match env_number("RAFT_SEED") {
         Some(seed) => seed..seed + 1,
-        None => 0..env_number("RAFT_SEEDS").unwrap_or(DEFAULT_SEEDS),
+        None => 0..env_number("RAFT_SEEDS").unwrap_or(default_seeds),
     };
     for seed in seeds {
-        let result = std::panic::catch_unwind(|| run_seed(seed));
+        let result = std::panic::catch_unwind(|| run_seed(seed, conditions));
         if let Err(panic) = result {
             eprintln!("RAFT_SEED={seed}");
             std::panic::resume_unwind(panic);
@@ -39,7 +55,7 @@
     }
 }
 
-fn run_seed(seed: u64) {
+fn run_seed(seed: u64, conditions: &Conditions) {
     let voters: &[&str] = if seed.is_multiple_of(3) {
         &["a", "b", "c", "d", "e"]
     } else {
@@ -48,7 +64,7 @@
     let mut sim = Sim::new(seed, voters);
     sim.settings.raft.snapshot_after = 8;
     sim.settings.raft.trailing = 3;
-    sim.conditions = FAULTY;
+    sim.conditions = conditions.clone();
     let mut patches = Vec::new();
     for _ in 0..ACTIONS_PER_SEED {
         random_action(&mut sim, &mut patches);
--- a/crates/decide/tests/raft/slow_disks.rs
+++ b/crates/decide/tests/raft/slow_disks.rs
@@ -6,7 +6,7 @@
 use decide::{Event, Msg};
 use model::{CONTROL_PART, HostId, PartAddr};
 
-use crate::harness::{Conditions, FAULTLESS, Sim};
+use crate::harness::{Conditions, FAULTLESS, Sim, service_patch};
 
 const VOTERS: [&str; 5] = ["a", "b", "c", "d", "e"];
 const SEEDS: u64 = 40;
@@ -63,6 +63,33 @@
     check_replacement(Duration::from_millis(600), Duration::from_secs(8), 8);
 }
 
+/// Guards against leaders that step down although all members follow them, because the answers to
+/// their heartbeats waited for the disks.
+#[test]
+fn a_lost_leader_is_replaced_while_syncs_take_longer_than_an_election_timeout() {
+    check_replacement(Duration::from_secs(2), Duration::from_secs(20), 8);
+}
+
+/// Guards against a voter that answers heartbeats but can't store anything, and so is kept as a
+/// voter for as long as its disk is full.
+#[test]
+fn a_voter_whose_disk_stays_full_is_removed() {
+    let mut sim = Sim::new(1, &VOTERS);
+    sim.settings.raft.auto_members = true;
+    sim.patch_until_decided("x", service_patch("first", 0));
+    sim.run_for(Duration::from_millis(200));
+    let leader = sim.leader().expect("a leader");
+    let full = sim.founders.iter().find(|host| **host != leader).unwrap();
+    let full = full.clone();
+    sim.fill_disk(&full, Duration::from_secs(60));
+    sim.patch_until_decided("x", service_patch("second", 1));
+    let lost_after = sim.settings.raft.lost_after;
+    sim.run_for(lost_after + Duration::from_secs(1));
+    let leader = sim.leader().expect("a leader");
+    let membership = sim.hosts[&leader].raft.as_ref().unwrap().membership();
+    assert!(membership.voters.iter().all(|voter| voter.host != full));
+}
+
 /// Guards against a member that leads twice in a term: late copies of the votes that made it leader
 /// must not count in a later pre-vote, since its log may have lost entries of that term meanwhile.
 #[test]
