--- a/crates/decide/src/raft/leader.rs
+++ b/crates/decide/src/raft/leader.rs
@@ -49,7 +49,8 @@
     next_index: LogIndex,
     /// Until when no further entries are sent unless the last ones are answered.
     append_in_flight_until: Option<Instant>,
-    /// How often entries were sent since the last answer that counts in `last_heard_at`; the interval doubles with each time.
+    /// How often entries were sent since the last answer that counts in `last_heard_at`; the
+    /// interval doubles with each time.
     unanswered_appends: u32,
     /// Until when no snapshot is sent again unless the last one is answered.
     snapshot_in_flight_until: Option<Instant>,
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -220,7 +220,8 @@
     /// Returns the upstreams of a service that may get a read now.
     ///
     /// It leaves out draining replicas, those that were behind a floor, those of evacuated data
-    /// centres, a primary there once it is closed, and upstreams that no owner can reach. Upstreams whose owners have all left reads unanswered are the last resort.
+    /// centres, a primary there once it is closed, and upstreams that no owner can reach. Upstreams
+    /// whose owners have all left reads unanswered are the last resort.
     pub(crate) fn usable_upstreams<'a>(
         &self,
         now: Instant,
