--- a/crates/decide/src/entry/pick.rs
+++ b/crates/decide/src/entry/pick.rs
@@ -1,6 +1,7 @@
 //! Routes requests: to the primary, or to an upstream of the read policy's choice.
 
 use model::{HashMap, Kind, Request, ServiceId, Term, UpstreamId};
+use rand::Rng;
 
 use crate::entry::owner_check::OwnerChecks;
 use crate::entry::pending::{PendingRequest, Target};
@@ -9,7 +10,7 @@
 use crate::{Cx, View};
 
 /// Chooses the upstream and the owner for each request.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Router<R> {
     policy: R,
     /// The upstreams and owners that failed recently and get no requests for a short time.
@@ -62,11 +63,11 @@
             self.newest_primary(view, &req.service)
                 .map(|(_, id)| id.clone())
         };
-        if req.kind == Kind::Write || (req.in_transaction && !req.read_only_transaction) {
+        if may_write(req) {
             let open = primary().filter(|id| !view.is_closed(id, cx.now));
             return open.map(|id| (id, "write"));
         }
-        let needs_newest = req.floor.is_none() && req.max_age.is_none();
+        let needs_newest = needs_newest(req);
         if pending.replica_behind || needs_newest {
             let reason = if needs_newest {
                 "no-floor"
@@ -74,7 +75,12 @@
                 "replicas-behind"
             };
             let usable = self.usable_upstreams(cx, view, service, true);
-            if let Some(id) = primary().filter(|id| usable.contains(&id)) {
+            let is_usable = |id: &UpstreamId| match needs_newest {
+                // No other upstream can serve it, however its owners have left reads unanswered.
+                true => self.has_no_obstacle(cx, view, service, id),
+                false => usable.contains(&id),
+            };
+            if let Some(id) = primary().filter(is_usable) {
                 return Some((id, reason));
             }
             if needs_newest {
@@ -82,6 +88,18 @@
             }
         }
         let usable = self.usable_upstreams(cx, view, service, pending.replica_behind);
+        if let Some(failed_at) = &pending.failed_at {
+            let others = usable.iter().filter(|id| **id != failed_at);
+            let others: Vec<&UpstreamId> = others.copied().collect();
+            // At random, so that a faulty upstream's reads are not all sent to one other upstream.
+            let nth = cx.rng.random_range(0..others.len().max(1));
+            if let Some(other) = others.get(nth) {
+                return Some(((*other).clone(), "after-failure"));
+            }
+            if pending.error_answer.is_some() {
+                return None;
+            }
+        }
         let picked = self.policy.pick(cx, view, service, &usable)?;
         Some(self.failures.replace_loaded(cx, picked, &usable))
     }
@@ -101,7 +119,7 @@
     }
 
     /// Returns the upstreams of a service that may get a read now.
-    fn usable_upstreams<'a>(
+    pub(super) fn usable_upstreams<'a>(
         &self,
         cx: &Cx<'_>,
         view: &View,
@@ -112,8 +130,21 @@
             .usable_upstreams(cx.now, view, &self.checks, service, ignore_behind)
     }
 
+    /// Returns whether a read may be sent to an upstream, also as a last resort.
+    fn has_no_obstacle(
+        &self,
+        cx: &Cx<'_>,
+        view: &View,
+        service: &ServiceView,
+        id: &UpstreamId,
+    ) -> bool {
+        let (failures, checks) = (&self.failures, &self.checks);
+        let obstacle = failures.read_obstacle(cx.now, view, checks, service, id, true);
+        obstacle.is_none()
+    }
+
     /// Returns the primary with the highest term out of the view and the owners' hints.
-    fn newest_primary<'a>(
+    pub(super) fn newest_primary<'a>(
         &'a self,
         view: &'a View,
         service: &ServiceId,
@@ -149,3 +180,13 @@
         });
     }
 }
+
+/// Returns whether a request goes to the primary because it, or its transaction, may write.
+pub(super) fn may_write(req: &Request) -> bool {
+    req.kind == Kind::Write || (req.in_transaction && !req.read_only_transaction)
+}
+
+/// Returns whether a read goes to the primary because it must see all acknowledged writes.
+pub(super) fn needs_newest(req: &Request) -> bool {
+    req.floor.is_none() && req.max_age.is_none()
+}
--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -7,7 +7,8 @@
 
 use decide::Settings;
 use decide::owner::CapacitySource;
-use overload_world::{Day, Second, World, primary_capacity, replica_share};
+use overload_world::callers::{primary_capacity, replica_share};
+use overload_world::{Day, Second, World};
 
 const SEEDS: [u64; 3] = [1, 2, 3];
 
@@ -25,6 +26,7 @@
         idle_transactions: secs(9)..secs(14),
         busy: secs(24)..secs(24),
         busy_instance: 1,
+        ill: None,
         length: secs(24),
     }
 }
