owner: tell other owners a known position when a busy primary answers no query

The owners of replicas ask an owner of the primary for its position, which asked the primary itself unless it knew one of the last 60 ms, and a busy primary refuses that too.

--- a/crates/decide/src/owner/primary_position.rs
+++ b/crates/decide/src/owner/primary_position.rs
@@ -212,8 +212,9 @@
         }
     }
 
-    /// Handles a primary's reply and answers the owners that wait for it; returns whether the query
-    /// is one of this module, also if it is no longer known.
+    /// Handles the end of a query to a primary and answers the owners that wait for it, if need be
+    /// with the position that is known from before; returns whether the query is one of this module,
+    /// also if it is no longer known.
     pub(crate) fn on_query_reply(
         &mut self,
         cx: &mut Cx<'_>,
@@ -223,13 +224,19 @@
         let Some((service, asked_at)) = self.primary_queries.remove(&id) else {
             return id >= FIRST_QUERY_ID;
         };
-        if let Ok(reply) = result
-            && reply.status.role == Role::Primary
-        {
-            let position = reply.status.position;
-            self.record(&service, position, asked_at);
+        let newest = match result {
+            Ok(reply) if reply.status.role == Role::Primary => {
+                let position = reply.status.position;
+                self.record(&service, position, asked_at);
+                Some((position, asked_at))
+            }
+            Ok(_) => None,
+            // A busy primary answers no query, but it tells its position with each refusal.
+            Err(_) => self.get(&service),
+        };
+        if let Some((position, at)) = newest {
             for (asker, query_id, _) in self.waiting_askers.remove(&service).unwrap_or_default() {
-                send_position(cx, asker, service.clone(), query_id, position, asked_at);
+                send_position(cx, asker, service.clone(), query_id, position, at);
             }
         }
         true
