--- a/crates/balance/src/forward.rs
+++ b/crates/balance/src/forward.rs
@@ -130,7 +130,8 @@
             .iter()
             .filter(|to| self.credit(upstream, to.upstream) >= 1.0);
         let known = allowed.filter_map(|sibling| {
-            let (load, age) = self.known_load(now, max_age, sibling)?;
+            let known = self.known_load(now, max_age, sibling);
+            let (load, age) = known.filter(|(load, _)| !load.behind)?;
             Some((load.expected_wait(), !sibling.near, sibling.upstream, age))
         });
         let (wait, _, to, age) = known.min()?;
@@ -167,7 +168,8 @@
             let known = self.known_load(now, max_age, sibling);
             let (load, age) = known.unwrap_or_default();
             let wait = load.expected_wait();
-            let usable = credit >= 1.0 && wait <= EJECT_WAIT_MAX && !sibling.owners.is_empty();
+            let has_room = wait <= EJECT_WAIT_MAX && !load.behind;
+            let usable = credit >= 1.0 && has_room && !sibling.owners.is_empty();
             usable.then_some((wait, !sibling.near, credit, sibling.upstream, age))
         });
         let (wait, _, _, to, age) = options.min_by(|a, b| {
--- a/crates/balance/src/load.rs
+++ b/crates/balance/src/load.rs
@@ -15,6 +15,8 @@
     pub slots: u32,
     /// The expected service time of the running and queued requests together.
     pub work: Duration,
+    /// Whether the instance was behind for the last reads that it was to run.
+    pub behind: bool,
 }
 
 impl LoadReport {
@@ -37,6 +39,7 @@
             queued: self.queued.saturating_add(other.queued),
             slots: self.slots.max(other.slots),
             work: self.work.saturating_add(other.work),
+            behind: self.behind || other.behind,
         }
     }
 
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -68,6 +68,7 @@
             queued: all.saturating_sub(SLOTS as u32),
             slots: SLOTS as u32,
             work: Duration::from_secs_f64(WORK_S * self.slow * f64::from(all)),
+            behind: false,
         }
     }
 }
--- a/crates/balance/tests/health.rs
+++ b/crates/balance/tests/health.rs
@@ -90,6 +90,7 @@
         queued: 20,
         slots: 4,
         work: Duration::from_millis(288),
+        behind: false,
     };
     for id in &names[1..] {
         forwarder.record(now, id, &owner, loaded);
--- a/crates/decide/src/owner/conn_events.rs
+++ b/crates/decide/src/owner/conn_events.rs
@@ -272,8 +272,11 @@
         if running.caller_gone {
             return;
         }
+        if verdict.is_ok() {
+            self.behind_at = None;
+        }
         match verdict {
-            Err(UnusableOutcome::Behind) => running.job.bounce(cx, Bounce::Behind),
+            Err(UnusableOutcome::Behind) => self.bounce(cx, &running.job, Bounce::Behind),
             Err(UnusableOutcome::Busy) if self.waits_in_vain(cx, &running.job) => {
                 running.job.turn_away(cx);
             }
--- a/crates/decide/src/owner/dispatch.rs
+++ b/crates/decide/src/owner/dispatch.rs
@@ -35,7 +35,7 @@
             return job.bounce(cx, Bounce::NotOwner);
         }
         if let Err(bounce) = self.start_condition(cx, &job.run.req) {
-            return job.bounce(cx, bounce);
+            return self.bounce(cx, &job, bounce);
         }
         if self.lacks_token(cx) || !self.breaker.allow(cx.now, &cx.settings.owner.breaker) {
             return job.bounce(cx, Bounce::Unavailable);
@@ -43,6 +43,14 @@
         self.enqueue(cx, job);
     }
 
+    /// Bounces a request that can't run here, and records whether the instance is behind for it.
+    pub(crate) fn bounce(&mut self, cx: &mut Cx<'_>, job: &Job, why: Bounce) {
+        if why == Bounce::Behind {
+            self.behind_at = Some(cx.now);
+        }
+        job.bounce(cx, why);
+    }
+
     /// Queues a request, or refuses it if it is not expected to run before its deadline.
     pub(crate) fn enqueue(&mut self, cx: &mut Cx<'_>, mut job: Job) {
         if self.turns_away(cx, &job) {
@@ -301,7 +309,8 @@
             (Ok(wait_for), Some(known)) => (wait_for, known),
             (fit, _) => {
                 self.queue.refund(&workspace, charge);
-                return job.bounce(cx, fit.err().unwrap_or(Bounce::Unavailable));
+                let bounce = fit.err().unwrap_or(Bounce::Unavailable);
+                return self.bounce(cx, &job, bounce);
             }
         };
         let slots = self.claimed_slots(cx.now);
--- a/crates/decide/src/owner/evacuation.rs
+++ b/crates/decide/src/owner/evacuation.rs
@@ -75,7 +75,7 @@
     }
 
     /// Returns whether the upstream is the newest known primary.
-    pub(crate) fn is_primary(&self) -> bool {
+    fn is_primary(&self) -> bool {
         self.primary.as_ref().is_some_and(|(_, id)| *id == self.id)
     }
 
--- a/crates/decide/src/owner/forward.rs
+++ b/crates/decide/src/owner/forward.rs
@@ -20,6 +20,10 @@
 use crate::view::UpstreamView;
 use crate::{Cx, View};
 
+/// How long an instance counts as behind after it was so for a read, unless it runs one: three
+/// intervals of reports.
+const BEHIND_VALID: Duration = Duration::from_millis(300);
+
 /// The loads of sibling instances, and the reads that were forwarded to them.
 #[derive(Debug, Default)]
 pub(crate) struct Forwards {
@@ -83,8 +87,7 @@
         let Some(own) = self.upstreams.get_mut(&run.upstream) else {
             return false;
         };
-        // A primary gets reads that replicas were behind for: they would come back.
-        if !own.owned || own.is_primary() {
+        if !own.owned {
             return false;
         }
         let is_faulty = cfg.eject_faulty && own.health.turns_away(cx.now);
@@ -255,6 +258,7 @@
             queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
             slots: self.active_claim(now).map_or(0, |claim| claim.slots),
             work: queued.chain(running).sum::<Duration>(),
+            behind: self.behind_at.is_some_and(|at| now < at + BEHIND_VALID),
         }
     }
 
--- a/crates/decide/src/owner/upstream.rs
+++ b/crates/decide/src/owner/upstream.rs
@@ -76,6 +76,8 @@
     /// The open transactions.
     pub(crate) pins: HashMap<ConnId, Pin>,
     pub(crate) breaker: Breaker,
+    /// When the instance was last behind for a read, unless it has run one since.
+    pub(crate) behind_at: Option<Instant>,
     /// How many statements may run at a time, by the instance's busy responses.
     pub(crate) limit: ConcurrencyLimit,
     /// The outcomes of the last reads, and the share of them that is run here.
@@ -118,6 +120,7 @@
             running: HashMap::default(),
             pins: HashMap::default(),
             breaker: Breaker::default(),
+            behind_at: None,
             limit: ConcurrencyLimit::default(),
             health: Health::default(),
             pace: Pace::default(),
