owner: refuse no statement of an open transaction by its objective

Such a statement was refused if its expected wait exceeded the objective, which ends its transaction and loses the work done in it.

--- a/crates/decide/src/owner/dispatch.rs
+++ b/crates/decide/src/owner/dispatch.rs
@@ -64,7 +64,9 @@
         }
         let ahead = self.expected_wait(cx, &job, urgent, slots);
         let wait_bound = ahead + ahead / WAIT_MARGIN_DIVISOR;
-        let by_objective = cx.settings.room.rank_requests && !job.waiting(cx.now).is_late();
+        // A refused statement ends its transaction, and the work done in it is lost.
+        let may_be_late = urgent || job.waiting(cx.now).is_late();
+        let by_objective = cx.settings.room.rank_requests && !may_be_late;
         let latest = match by_objective {
             true => job.objective_at,
             false => job.deadline,
