spread: log and measure which configuration a host has, from whom, and why it waits

Change: 530 names the sender and the version before; 532 an update that starts at another version than the held one; 533, on the host that should send, who lacks a version and why nothing is sent; 534, on the host that lacks it, the newest version that it has heard of and from whom. 533 and 534 come after a second, and once a second for each host at most. No decision changes.

--- a/crates/decide/src/spread.rs
+++ b/crates/decide/src/spread.rs
@@ -16,6 +16,7 @@
 pub mod announcement_lease;
 pub mod config_delta;
 pub mod config_in_force;
+pub mod config_lag;
 pub mod config_push;
 pub mod fact_stream;
 pub mod facts;
@@ -30,6 +31,7 @@
 pub mod settings;
 pub mod status;
 pub mod tables;
+pub mod version_times;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -42,6 +44,7 @@
 use crate::ack_lease::AckLeaseHolder;
 use crate::spread::announcement_lease::AnnouncementLeases;
 use crate::spread::config_in_force::ConfigInForce;
+use crate::spread::config_lag::ConfigLag;
 use crate::spread::facts::{FactKey, FactTable};
 use crate::spread::failure_detector::UnresponsiveHost;
 use crate::spread::host_versions::HostVersions;
@@ -114,6 +117,10 @@
     pub(crate) config: ConfigInForce,
     /// When the held configuration last changed.
     pub(crate) config_changed_at: Instant,
+    /// The host that sent the held configuration; `None` if consensus committed it here.
+    pub(crate) config_from: Option<HostId>,
+    /// The versions that this host lacks, as far as it has heard of them.
+    pub(crate) config_lag: ConfigLag,
     /// When the configuration may come into force or stop being usable.
     pub(crate) config_wake_at: Option<Instant>,
     pub(crate) config_usable_until: Option<Instant>,
@@ -164,6 +171,8 @@
             is_started: false,
             config: ConfigInForce::new(now),
             config_changed_at: now,
+            config_from: None,
+            config_lag: ConfigLag::new(now),
             config_wake_at: None,
             config_usable_until: None,
             config_usable: false,
@@ -271,8 +280,9 @@
     pub fn on_config_committed(&mut self, cx: &mut Cx<'_>, config: Arc<Config>) {
         self.start_once(cx);
         self.config.record_data_centre_version(config.version);
-        if self.config.adopt_full(config, &cx.settings.spread) {
-            self.forward_config(cx, None);
+        let previous = self.config.in_force().map(|config| config.version);
+        if self.config.adopt_full(config, cx.now, &cx.settings.spread) {
+            self.forward_config(cx, None, previous);
         }
         self.finish_event(cx);
     }
--- a/crates/decide/src/spread/config_in_force.rs
+++ b/crates/decide/src/spread/config_in_force.rs
@@ -9,6 +9,7 @@
 use crate::spread::config_delta::{ConfigDelta, DeltaHistory};
 use crate::spread::msg::{ConfigStatus, ConfigUpdate};
 use crate::spread::settings::SpreadSettings;
+use crate::spread::version_times::VersionTimes;
 
 /// The configuration that a host holds, and whether it is in force.
 ///
@@ -24,6 +25,8 @@
     held: Option<Arc<Config>>,
     is_in_force: bool,
     history: DeltaHistory,
+    /// When this host adopted each of the versions that the history covers.
+    adopted: VersionTimes,
     /// The latest moment at which the held version was known to be current.
     confirmed_at: Option<Instant>,
     /// The confirmation of a version that is newer than the held one.
@@ -40,6 +43,7 @@
             held: None,
             is_in_force: false,
             history: DeltaHistory::default(),
+            adopted: VersionTimes::default(),
             confirmed_at: None,
             future_confirmation: None,
             data_centre_version: None,
@@ -57,7 +61,12 @@
     }
 
     /// Holds a full configuration if it is newer than the held one, and returns whether it was.
-    pub fn adopt_full(&mut self, config: Arc<Config>, settings: &SpreadSettings) -> bool {
+    pub fn adopt_full(
+        &mut self,
+        config: Arc<Config>,
+        now: Instant,
+        settings: &SpreadSettings,
+    ) -> bool {
         if self.held_version() >= Some(config.version) {
             return false;
         }
@@ -65,14 +74,19 @@
             let delta = ConfigDelta::between(old, &config);
             self.history.push(delta, settings.config_history);
         }
-        self.set_held(config);
+        self.set_held(config, now, settings);
         true
     }
 
     /// Applies an update if it is newer and based on the held version; returns whether it did.
-    pub fn apply_update(&mut self, update: ConfigUpdate, settings: &SpreadSettings) -> bool {
+    pub fn apply_update(
+        &mut self,
+        update: ConfigUpdate,
+        now: Instant,
+        settings: &SpreadSettings,
+    ) -> bool {
         let mut delta = match update {
-            ConfigUpdate::Full(config) => return self.adopt_full(Arc::new(config), settings),
+            ConfigUpdate::Full(config) => return self.adopt_full(Arc::new(config), now, settings),
             ConfigUpdate::Delta(delta) => delta,
         };
         let Some(old) = self.held.as_mut() else {
@@ -86,12 +100,14 @@
         delta.apply(Arc::make_mut(&mut config));
         delta.base = from;
         self.history.push(delta, settings.config_history);
-        self.set_held(config);
+        self.set_held(config, now, settings);
         true
     }
 
     /// Replaces the held configuration, and uses a confirmation that came ahead of it.
-    fn set_held(&mut self, config: Arc<Config>) {
+    fn set_held(&mut self, config: Arc<Config>, now: Instant, settings: &SpreadSettings) {
+        self.adopted
+            .record(config.version, now, settings.config_history);
         if let Some((version, at)) = self.future_confirmation
             && version <= config.version
         {
@@ -181,6 +197,14 @@
         }
     }
 
+    /// Returns since when a host that holds `theirs` lacks a version that this host holds; `None` if
+    /// it lacks none.
+    ///
+    /// Later versions don't change the moment: it is that of the first one it lacks.
+    pub fn lacking_since(&self, theirs: Option<ConfigVersion>) -> Option<Instant> {
+        self.adopted.first_above(theirs)
+    }
+
     /// Returns the update for a host that holds `theirs`, or `None` if that is no older.
     pub fn update_since(&self, theirs: Option<ConfigVersion>) -> Option<ConfigUpdate> {
         let held = self.held.as_ref()?;
--- a/crates/decide/src/spread/config_push.rs
+++ b/crates/decide/src/spread/config_push.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use evac::{EvacEvent, EvacuationVersion};
-use model::HostId;
+use model::{ConfigVersion, HostId};
 
 use crate::Cx;
 use crate::spread::Spread;
+use crate::spread::config_lag::Withheld;
 use crate::spread::host_versions::HostVersion;
 use crate::spread::log_event::SpreadLogEvent;
 use crate::spread::msg::{ConfigStatus, ConfigUpdate, SpreadMsg};
@@ -26,26 +27,37 @@
         from: &HostId,
         update: ConfigUpdate,
     ) {
-        let version = update.version();
+        let (base, version) = (update.base(), update.version());
         if let Some(link) = self.links.get_mut(from) {
             link.held_version = link.held_version.max(Some(version));
         }
-        if self.config.apply_update(update, &cx.settings.spread) {
-            self.forward_config(cx, Some(from));
+        let previous = self.config.in_force().map(|config| config.version);
+        if self
+            .config
+            .apply_update(update, cx.now, &cx.settings.spread)
+        {
+            self.forward_config(cx, Some(from), previous);
+        } else {
+            self.report_rejected_update(cx, from, base, version);
         }
     }
 
-    /// Sends a new configuration to other hosts.
+    /// Sends a new configuration to other hosts; `previous` is the version in force before it.
     ///
     /// One from a parent goes to children at once; other links get it if they still lack it two
     /// heartbeats later.
-    pub(crate) fn forward_config(&mut self, cx: &mut Cx<'_>, from: Option<&HostId>) {
+    pub(crate) fn forward_config(
+        &mut self,
+        cx: &mut Cx<'_>,
+        from: Option<&HostId>,
+        previous: Option<ConfigVersion>,
+    ) {
         self.config_changed_at = cx.now;
-        if let Some(config) = self.config.in_force() {
+        self.config_from = from.cloned();
+        self.record_held_version();
+        if self.config.in_force().is_some() {
             self.view_changed = true;
-            let version = config.version;
-            let reason = "newer";
-            cx.log(SpreadLogEvent::ConfigInForce { version, reason });
+            self.log_config_in_force(cx, previous, "newer");
         }
         let from_parent = from.is_some_and(|from| {
             let link = self.links.get(from);
@@ -67,9 +79,22 @@
             return;
         };
         self.view_changed = true;
+        self.log_config_in_force(cx, None, reason);
+    }
+
+    fn log_config_in_force(
+        &self,
+        cx: &mut Cx<'_>,
+        previous: Option<ConfigVersion>,
+        reason: &'static str,
+    ) {
         if let Some(config) = self.config.in_force() {
-            let version = config.version;
-            cx.log(SpreadLogEvent::ConfigInForce { version, reason });
+            cx.log(SpreadLogEvent::ConfigInForce {
+                version: config.version,
+                reason,
+                from: self.config_from.clone(),
+                previous: previous.unwrap_or(0),
+            });
         }
     }
 
@@ -88,6 +113,7 @@
             self.config.record_data_centre_version(version);
         }
         self.on_evacuations_held(cx, from, evacuations, is_local);
+        self.record_newer_version(from, theirs.held_version, cx.now);
         let Some(link) = self.links.get_mut(from) else {
             return;
         };
@@ -109,34 +135,39 @@
                 .reduce(cx.now, EvacEvent::Confirmed { version, at });
         }
         let deferral_over = cx.now >= self.config_changed_at + cx.settings.spread.heartbeat * 2;
-        if link.is_child_only() || deferral_over {
-            self.push_config(cx, from);
+        let withheld = if link.is_child_only() || deferral_over {
+            self.push_config(cx, from)
+        } else {
+            Some(Withheld::LeftToParents)
+        };
+        if let Some(reason) = withheld {
+            self.report_withheld_update(cx, from, reason);
         }
     }
 
-    /// Sends a host the update of the configuration that it lacks, if any.
+    /// Sends a host the update of the configuration that it lacks, if any; returns why not, if it
+    /// lacks one.
     ///
     /// The evacuations go first, so that no configuration comes into force without them.
-    fn push_config(&mut self, cx: &mut Cx<'_>, host: &HostId) {
+    fn push_config(&mut self, cx: &mut Cx<'_>, host: &HostId) -> Option<Withheld> {
         self.push_evacuations(cx, host);
         let recent = cx.now < self.config_changed_at + RESEND_AFTER;
         let leave_to_other_parent = recent && !self.is_first_sender_to(host);
-        let Some(link) = self.links.get_mut(host) else {
-            return;
-        };
+        let link = self.links.get_mut(host)?;
         let sent = link.config_sent;
         let sent = sent.filter(|(_, at)| cx.now < *at + RESEND_AFTER);
         let theirs = link.held_version.max(sent.map(|(version, _)| version));
         let Some(update) = self.config.update_since(theirs) else {
-            return;
+            return sent.map(|_| Withheld::InFlight);
         };
         // Sent by both parents, a large update would occupy this host's link and the child's for
         // seconds.
         if leave_to_other_parent && update.is_large(LARGE_UPDATE_ENTRIES) {
-            return;
+            return Some(Withheld::LeftToFirstSender);
         }
         link.config_sent = Some((update.version(), cx.now));
         cx.send_control(host, SpreadMsg::Config(Box::new(update)));
+        None
     }
 
     /// Returns whether this host is the parent that sends large updates to `host` at once.
--- a/crates/decide/src/spread/heartbeat.rs
+++ b/crates/decide/src/spread/heartbeat.rs
@@ -33,6 +33,7 @@
         self.update_heard_data_centres(cx);
         self.forget_gone_facts(cx);
         self.report_versions(cx);
+        self.report_config_lag(cx);
         self.send_due_heartbeats(cx);
         self.flush_facts(cx);
     }
--- a/crates/decide/src/spread/link.rs
+++ b/crates/decide/src/spread/link.rs
@@ -51,6 +51,8 @@
     pub held_version: Option<ConfigVersion>,
     /// The version of the configuration that was last sent, and when.
     pub config_sent: Option<(ConfigVersion, Instant)>,
+    /// When event 533 last reported that the other lacks a version and is sent no update.
+    pub withheld_reported: Option<Instant>,
     /// The newest version of the evacuations that the other is known to hold.
     pub evacuations_held: EvacuationVersion,
     /// The version of the evacuations that was last sent, and when.
@@ -85,6 +87,7 @@
             version_in_force: None,
             held_version: None,
             config_sent: None,
+            withheld_reported: None,
             evacuations_held: 0,
             evacuations_sent: None,
             sent_heartbeats: Vec::new(),
--- a/crates/decide/src/spread/log_event.rs
+++ b/crates/decide/src/spread/log_event.rs
@@ -1,6 +1,7 @@
 //! Log events of membership, facts and configuration in force, numbered 500 to 599.
 
 use std::fmt;
+use std::time::Duration;
 
 use model::{ConfigVersion, HostId, Incarnation, ServiceId, Term, UpstreamId};
 
@@ -85,6 +86,47 @@
         version: ConfigVersion,
         /// Why it came into force: `newer`, `confirmed` or `cut-off`.
         reason: &'static str,
+        /// The host that sent it; `None` if consensus committed it on this host.
+        from: Option<HostId>,
+        /// The version that was in force before; 0 if none was.
+        previous: ConfigVersion,
+    },
+    /// An update to a newer configuration can't be applied to the held one.
+    ConfigUpdateRejected {
+        /// The host that sent it.
+        from: HostId,
+        /// The version that the update applies to; 0 if it is a full configuration.
+        base: ConfigVersion,
+        /// The version that it leads to.
+        version: ConfigVersion,
+        /// The held version; 0 if there is none.
+        held: ConfigVersion,
+    },
+    /// Another host lacks a version of this one for long, and is sent no update now.
+    ConfigWithheld {
+        /// The host that lacks the version.
+        host: HostId,
+        /// The version that it has reported.
+        held: ConfigVersion,
+        /// The version that this host holds.
+        newest: ConfigVersion,
+        /// Time since this host adopted the first version that the other lacks.
+        lacking: Duration,
+        /// Why nothing is sent.
+        reason: &'static str,
+    },
+    /// This host has lacked a version for long that another one holds.
+    ConfigBehind {
+        /// The held version; 0 if there is none.
+        held: ConfigVersion,
+        /// The newest version that this host has heard of.
+        newest: ConfigVersion,
+        /// The host that reported it.
+        known_by: HostId,
+        /// Time since this host heard of the first version that it lacks.
+        lacking: Duration,
+        /// The last host whose update could not be applied; `None` if no update came.
+        rejected_from: Option<HostId>,
     },
     /// The configuration in force went unconfirmed for too long, or is confirmed again.
     ConfigUsable {
@@ -116,6 +158,9 @@
             Self::PrimaryLearned { .. } => 520,
             Self::ConfigInForce { .. } => 530,
             Self::ConfigUsable { .. } => 531,
+            Self::ConfigUpdateRejected { .. } => 532,
+            Self::ConfigWithheld { .. } => 533,
+            Self::ConfigBehind { .. } => 534,
         }
     }
 
@@ -125,6 +170,8 @@
             | Self::HeartbeatsMissed { .. }
             | Self::DeathRefuted { .. }
             | Self::UpstreamLapsed { .. }
+            | Self::ConfigWithheld { .. }
+            | Self::ConfigBehind { .. }
             | Self::ConfigUsable { usable: false, .. } => log::Level::Warn,
             _ => log::Level::Info,
         }
@@ -173,9 +220,50 @@
                 f,
                 "primary-learned service={service} term={term} upstream={upstream}"
             ),
-            Self::ConfigInForce { version, reason } => {
-                write!(f, "config-in-force version={version} reason={reason}")
+            Self::ConfigInForce {
+                version,
+                reason,
+                from,
+                previous,
+            } => {
+                let from = from.as_deref().unwrap_or("consensus");
+                write!(
+                    f,
+                    "config-in-force version={version} reason={reason} from={from} previous={previous}"
+                )
             }
+            Self::ConfigUpdateRejected {
+                from,
+                base,
+                version,
+                held,
+            } => write!(
+                f,
+                "config-update-rejected from={from} base={base} version={version} held={held}"
+            ),
+            Self::ConfigWithheld {
+                host,
+                held,
+                newest,
+                lacking,
+                reason,
+            } => write!(
+                f,
+                "config-withheld host={host} held={held} newest={newest} lacking_ms={} reason={reason}",
+                lacking.as_millis()
+            ),
+            Self::ConfigBehind {
+                held,
+                newest,
+                known_by,
+                lacking,
+                rejected_from,
+            } => write!(
+                f,
+                "config-behind held={held} newest={newest} known_by={known_by} lacking_ms={} rejected_from={}",
+                lacking.as_millis(),
+                rejected_from.as_deref().unwrap_or("-")
+            ),
             Self::ConfigUsable { version, usable } => {
                 write!(f, "config-usable version={version} usable={usable}")
             }
--- a/crates/decide/src/spread/msg.rs
+++ b/crates/decide/src/spread/msg.rs
@@ -141,6 +141,14 @@
         }
     }
 
+    /// Returns the version that the update applies to; `None` if it is a full configuration.
+    pub fn base(&self) -> Option<ConfigVersion> {
+        match self {
+            Self::Full(_) => None,
+            Self::Delta(delta) => Some(delta.base),
+        }
+    }
+
     /// Returns whether the update has more than `entries` entries.
     pub fn is_large(&self, entries: usize) -> bool {
         match self {
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -82,6 +82,17 @@
     pub(crate) config_version: Gauge,
     /// 1 if the host may serve by the configuration in force, else 0.
     pub(crate) config_usable: Gauge,
+    /// The newest version of the configuration that the host has heard of.
+    pub(crate) config_newest_version: Gauge,
+    /// Unix time in seconds since when the configuration has been in force.
+    pub(crate) config_in_force_since: Gauge,
+    /// Milliseconds for which the host has lacked a version that another one holds, while that is
+    /// over a second, else 0.
+    pub(crate) config_lacking: Gauge,
+    /// Updates of the configuration that could not be applied to the held one.
+    pub(crate) config_updates_rejected: Counter,
+    /// Reports that another host lacks a version and is sent no update.
+    pub(crate) config_updates_withheld: Counter,
     /// The version of the evacuations that the host keeps to.
     pub(crate) evacuation_version: Gauge,
     /// The number of data centres that are evacuated, as far as the host knows.
@@ -127,6 +138,20 @@
         let load_reports = Counter::default();
         let help = "Messages with an instance's load sent to other owners";
         registry.register("load_reports", help, load_reports.clone());
+        let config_updates_rejected = Counter::default();
+        let help = "Updates of the configuration that could not be applied to the held one";
+        registry.register(
+            "config_updates_rejected",
+            help,
+            config_updates_rejected.clone(),
+        );
+        let config_updates_withheld = Counter::default();
+        let help = "Reports that another host lacks a version and is sent no update";
+        registry.register(
+            "config_updates_withheld",
+            help,
+            config_updates_withheld.clone(),
+        );
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -151,6 +176,20 @@
                 "config_usable",
                 "Whether the host may serve by the configuration in force",
             ),
+            config_newest_version: gauge(
+                "config_newest_version",
+                "Newest version of the configuration that the host has heard of",
+            ),
+            config_in_force_since: gauge(
+                "config_in_force_since_seconds",
+                "Unix time since when the configuration has been in force",
+            ),
+            config_lacking: gauge(
+                "config_lacking_milliseconds",
+                "Time for which the host has lacked a version that another one holds",
+            ),
+            config_updates_rejected,
+            config_updates_withheld,
             evacuation_version: gauge(
                 "evacuation_version",
                 "Version of the evacuations that the host keeps to",
--- a/crates/host/src/metrics_recorder.rs
+++ b/crates/host/src/metrics_recorder.rs
@@ -1,11 +1,13 @@
 //! Updates the metrics from the events and effects of one part.
 
 use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use decide::caller::CallerEvent;
 use decide::conn::ConnEvent;
 use decide::relay::RelayMsg;
 use decide::session::SessionLogEvent;
+use decide::spread::SpreadLogEvent;
 use decide::{Effect, Event, LogEvent, Msg, View};
 use model::{Answer, ConnId, HashMap, HashSet, Kind, Role, SessionId, UpstreamId, Verdict};
 
@@ -83,6 +85,7 @@
                 self.metrics.count_routed(reason);
                 self.on_routed(*session, upstream);
             }
+            Effect::Log(LogEvent::Spread(event)) => self.on_spread_event(event),
             Effect::OpenConn { conn, .. } => {
                 self.opening.insert(*conn);
             }
@@ -98,6 +101,35 @@
         }
     }
 
+    fn on_spread_event(&self, event: &SpreadLogEvent) {
+        let metrics = &self.metrics;
+        match event {
+            SpreadLogEvent::ConfigInForce { version, .. } => {
+                let version = gauge_value(*version);
+                let newest = metrics.config_newest_version.get().max(version);
+                metrics.config_newest_version.set(newest);
+                let now = SystemTime::now().duration_since(UNIX_EPOCH);
+                let now = now.unwrap_or_default().as_secs();
+                metrics.config_in_force_since.set(gauge_value(now));
+                metrics.config_lacking.set(0);
+            }
+            SpreadLogEvent::ConfigBehind {
+                newest, lacking, ..
+            } => {
+                metrics.config_newest_version.set(gauge_value(*newest));
+                let millis = i64::try_from(lacking.as_millis()).unwrap_or(i64::MAX);
+                metrics.config_lacking.set(millis);
+            }
+            SpreadLogEvent::ConfigUpdateRejected { .. } => {
+                metrics.config_updates_rejected.inc();
+            }
+            SpreadLogEvent::ConfigWithheld { .. } => {
+                metrics.config_updates_withheld.inc();
+            }
+            _ => {}
+        }
+    }
+
     fn on_relay_msg_sent(&self, msg: &RelayMsg) {
         match msg {
             RelayMsg::Forward(_) => {
@@ -170,18 +202,23 @@
     }
 
     fn on_view_published(&mut self, view: &View) {
-        let version = i64::try_from(view.config.version).unwrap_or(i64::MAX);
+        let version = gauge_value(view.config.version);
         self.metrics.config_version.set(version);
         self.metrics
             .config_usable
             .set(i64::from(view.config_usable));
-        let version = i64::try_from(view.evacuations.version).unwrap_or(i64::MAX);
+        let version = gauge_value(view.evacuations.version);
         self.metrics.evacuation_version.set(version);
         let evacuated = i64::try_from(view.evacuations.closes_at.len()).unwrap_or(i64::MAX);
         self.metrics.evacuated_data_centres.set(evacuated);
     }
 }
 
+/// Returns a number as the value of a gauge, at most the largest one.
+fn gauge_value(number: u64) -> i64 {
+    i64::try_from(number).unwrap_or(i64::MAX)
+}
+
 /// Returns the role that an upstream has in a view.
 fn role_of(view: &View, upstream: &UpstreamId) -> Role {
     let service = view.upstreams.get(upstream);
