spread: count the wait for another sender from the version that a host lacks

Cause: a parent left an update of over 64 entries to a host's first sender for 1 s after the last change, and a host that has an update from a parent sent it to other parents 600 ms after the last change. Each change started both waits anew. Where the first sender of a head is the control host of its own data centre, and gets the update from the leader before it commits it, neither ever sent it; what follows starts at the missed version, so it is large too. Ruled out: a change of leader or a lost link (none in the tests). Change: both waits count from the moment at which this host adopted the first version that the other lacks, which later versions don't move. A control host forwards at once to the heads of which it is the first sender. A head's senders are the control hosts, on every host alike: before, the other head and the control hosts each left it to the other in fleets where control hosts are heads' children. Class: a wait that is measured from the newest change instead of from the one that is missing.

--- a/crates/decide/src/spread.rs
+++ b/crates/decide/src/spread.rs
@@ -115,8 +115,6 @@
     /// Whether the seeds' addresses were passed on and this host's first fact was published.
     pub(crate) is_started: bool,
     pub(crate) config: ConfigInForce,
-    /// When the held configuration last changed.
-    pub(crate) config_changed_at: Instant,
     /// The host that sent the held configuration; `None` if consensus committed it here.
     pub(crate) config_from: Option<HostId>,
     /// The versions that this host lacks, as far as it has heard of them.
@@ -170,7 +168,6 @@
             flush_at: None,
             is_started: false,
             config: ConfigInForce::new(now),
-            config_changed_at: now,
             config_from: None,
             config_lag: ConfigLag::new(now),
             config_wake_at: None,
--- a/crates/decide/src/spread/config_push.rs
+++ b/crates/decide/src/spread/config_push.rs
@@ -9,6 +9,7 @@
 use crate::spread::Spread;
 use crate::spread::config_lag::Withheld;
 use crate::spread::host_versions::HostVersion;
+use crate::spread::link::Link;
 use crate::spread::log_event::SpreadLogEvent;
 use crate::spread::msg::{ConfigStatus, ConfigUpdate, SpreadMsg};
 use crate::spread::relay_tree;
@@ -16,6 +17,14 @@
 /// Time after which an update is sent again if the receiver hasn't reported its version.
 const RESEND_AFTER: Duration = Duration::from_secs(1);
 
+/// Time for which a host must have lacked a version before a parent other than its first sender
+/// sends it a large update.
+const TAKE_OVER_AFTER: Duration = Duration::from_secs(1);
+
+/// Heartbeat intervals for which a host must have lacked a version before one that is not its parent
+/// sends it an update.
+const TAKE_OVER_HEARTBEATS: u32 = 2;
+
 /// The most entries, some 6 KB, of an update that all parents of a host send to it at once.
 const LARGE_UPDATE_ENTRIES: usize = 64;
 
@@ -44,15 +53,15 @@
 
     /// Sends a new configuration to other hosts; `previous` is the version in force before it.
     ///
-    /// One from a parent goes to children at once; other links get it if they still lack it two
-    /// heartbeats later.
+    /// One from a parent goes at once to children, and from a control host to the heads of which it
+    /// is the first sender, also if it takes them as parents: nobody else would send them a large
+    /// one. Other links get it if they still lack it `TAKE_OVER_HEARTBEATS` later.
     pub(crate) fn forward_config(
         &mut self,
         cx: &mut Cx<'_>,
         from: Option<&HostId>,
         previous: Option<ConfigVersion>,
     ) {
-        self.config_changed_at = cx.now;
         self.config_from = from.cloned();
         self.record_held_version();
         if self.config.in_force().is_some() {
@@ -63,8 +72,11 @@
             let link = self.links.get(from);
             link.is_some_and(|link| !link.is_child_only())
         });
-        let to = self.links.iter();
-        let to = to.filter(|(_, link)| link.ever_heard && (!from_parent || link.is_child_only()));
+        let is_due = |(host, link): &(&HostId, &Link)| {
+            let sends_first = || !self.is_control_host(host) && self.is_first_sender_to(host);
+            link.ever_heard && (!from_parent || link.is_child_only() || sends_first())
+        };
+        let to = self.links.iter().filter(is_due);
         let to: Vec<HostId> = to.map(|(host, _)| host.clone()).collect();
         for host in to {
             self.push_config(cx, &host);
@@ -134,7 +146,9 @@
             self.evacuations
                 .reduce(cx.now, EvacEvent::Confirmed { version, at });
         }
-        let deferral_over = cx.now >= self.config_changed_at + cx.settings.spread.heartbeat * 2;
+        let deferral = cx.settings.spread.heartbeat * TAKE_OVER_HEARTBEATS;
+        let lacking_since = self.config.lacking_since(link.held_version);
+        let deferral_over = lacking_since.is_none_or(|since| cx.now >= since + deferral);
         let withheld = if link.is_child_only() || deferral_over {
             self.push_config(cx, from)
         } else {
@@ -151,9 +165,11 @@
     /// The evacuations go first, so that no configuration comes into force without them.
     fn push_config(&mut self, cx: &mut Cx<'_>, host: &HostId) -> Option<Withheld> {
         self.push_evacuations(cx, host);
-        let recent = cx.now < self.config_changed_at + RESEND_AFTER;
-        let leave_to_other_parent = recent && !self.is_first_sender_to(host);
+        let is_first_sender = self.is_first_sender_to(host);
         let link = self.links.get_mut(host)?;
+        let lacking_since = self.config.lacking_since(link.held_version);
+        let recent = lacking_since.is_some_and(|since| cx.now < since + TAKE_OVER_AFTER);
+        let leave_to_other_parent = recent && !is_first_sender;
         let sent = link.config_sent;
         let sent = sent.filter(|(_, at)| cx.now < *at + RESEND_AFTER);
         let theirs = link.held_version.max(sent.map(|(version, _)| version));
@@ -172,17 +188,18 @@
 
     /// Returns whether this host is the parent that sends large updates to `host` at once.
     ///
-    /// The other parents wait for `RESEND_AFTER` and send them only if the host still lacks them.
+    /// The other parents send them only once the host has lacked a version for `TAKE_OVER_AFTER`.
     fn is_first_sender_to(&self, host: &HostId) -> bool {
         let receiver = self.facts.host(host);
         let is_local = receiver.is_some_and(|(info, _)| info.data_centre == self.me.data_centre);
-        let parents = if is_local && !self.me.is_control_host {
+        let is_head = self.tree.heads().contains(host);
+        let parents = if is_local && !is_head && !self.is_control_host(host) {
             self.tree.parents(host)
         } else {
             let others = self
                 .other_control_hosts
                 .iter()
-                .filter(|host| self.links.contains_key(*host));
+                .filter(|other| *other != host && self.links.contains_key(*other));
             relay_tree::best_by_rendezvous(
                 host,
                 others.chain(self.me.is_control_host.then_some(&self.me.host)),
@@ -194,6 +211,11 @@
         first.is_none_or(|first| *first == self.me.host)
     }
 
+    fn is_control_host(&self, host: &HostId) -> bool {
+        let receiver = self.facts.host(host);
+        receiver.is_some_and(|(info, _)| info.is_control_host)
+    }
+
     /// Records the versions in force on the hosts below the sender.
     pub(crate) fn on_versions(&mut self, rows: &[HostVersion]) {
         for row in rows.iter().filter(|row| row.host != self.me.host) {
--- /dev/null
+++ b/crates/decide/tests/spread_steady_changes.rs
@@ -0,0 +1,197 @@
+//! Each change of the configuration is in force on every host within its bound while changes never
+//! pause: large and small ones, after lost messages, dead parents and restarts.
+
+mod spread_net;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use model::config::{ReadRule, Route};
+use model::{Config, ConfigVersion, HostId};
+use rand::Rng;
+use spread_net::Net;
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Time after its commit within which a change must be in force on every host.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(3);
+/// Pause between two changes.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(330);
+/// Time from a commit on the leader of consensus to the commit on its followers, longer than the
+/// latency of a link.
+const COMMIT_DELAY: Duration = Duration::from_millis(4);
+/// Every so many changes one adds `LARGE_ROUTES` routes, more than an update that all parents send.
+const LARGE_EVERY: u64 = 12;
+const LARGE_ROUTES: usize = 100;
+
+/// A fleet whose configuration changes without a pause.
+struct Changes {
+    net: Net,
+    controls: BTreeSet<HostId>,
+    /// The leader of consensus as long as it is up: the first to commit a version.
+    leader: HostId,
+    /// When each version was committed.
+    committed: BTreeMap<ConfigVersion, Instant>,
+    /// Hosts from which nothing is asked, as they are down or have just started.
+    excused: BTreeSet<HostId>,
+    large_every: u64,
+}
+
+impl Changes {
+    /// Returns a fleet with a control host in each data centre; `seed` changes the leader and the
+    /// hosts' names, and with them which control hosts are the parents of a data centre.
+    fn new(hosts: usize, seed: u64) -> Self {
+        let mut net = Net::with_hosts(hosts, 4, seed, |info| {
+            info.is_control_host = info.host.ends_with("-h0");
+            info.is_entry_host = !info.is_control_host;
+            info.host = format!("{}-{seed}", info.host).into();
+        });
+        net.settings.spread.relay_fanout = 8;
+        let controls = net.quorum.clone();
+        let leader = controls.iter().nth(seed as usize % controls.len());
+        let leader = leader.expect("a control host").clone();
+        net.commit_next();
+        net.run(5 * SECOND);
+        let all = net.hosts();
+        assert!(net.all_views_have(&all, &all) && net.all_in_force(&all, 1));
+        Self {
+            net,
+            controls,
+            leader,
+            committed: BTreeMap::new(),
+            excused: BTreeSet::new(),
+            large_every: LARGE_EVERY,
+        }
+    }
+
+    /// Commits the next version, on the leader first; returns the version.
+    fn change(&mut self) -> ConfigVersion {
+        let mut config = Config::clone(&self.net.config);
+        config.version += 1;
+        let version = config.version;
+        let routes = match version % self.large_every {
+            0 => LARGE_ROUTES,
+            _ => 1,
+        };
+        for nth in 0..routes {
+            let route = Route {
+                service: "s".into(),
+                reads: ReadRule::Newest,
+                timeout: SECOND,
+                objective: SECOND,
+                priority: 1,
+                open: false,
+            };
+            config
+                .routes
+                .insert(format!("r{version}-{nth}").into(), route);
+        }
+        let running = self.net.hosts();
+        let up = self.controls.iter().filter(|host| running.contains(host));
+        let up: Vec<HostId> = up.cloned().collect();
+        let leader = up.iter().find(|host| **host == self.leader);
+        let leader = leader.unwrap_or(&up[0]).clone();
+        self.net.quorum = BTreeSet::from([leader]);
+        self.net.commit(config.clone());
+        self.committed.insert(version, self.net.now);
+        self.net.run(COMMIT_DELAY);
+        self.net.quorum = up.into_iter().collect();
+        self.net.commit(config);
+        version
+    }
+
+    /// Checks that each host has in force what was committed `IN_FORCE_WITHIN` ago.
+    fn check(&self) {
+        let due = self.committed.iter().rev();
+        let mut due = due.filter(|(_, at)| **at + IN_FORCE_WITHIN <= self.net.now);
+        let Some((due, _)) = due.next() else { return };
+        let hosts = self.net.hosts().into_iter();
+        let asked = hosts.filter(|host| !self.excused.contains(host));
+        let behind: Vec<(HostId, ConfigVersion)> = asked
+            .map(|host| {
+                let version = self.net.view(&host).config.version;
+                (host, version)
+            })
+            .filter(|(_, version)| version < due)
+            .collect();
+        let newest = self.net.config.version;
+        assert!(
+            behind.is_empty(),
+            "version {due} is not in force in time, of {newest}: {behind:?}"
+        );
+    }
+
+    /// Runs for a time with a change every `CHANGE_INTERVAL`, and checks each on every host.
+    fn run(&mut self, duration: Duration) {
+        let end = self.net.now + duration;
+        while self.net.now < end {
+            self.change();
+            self.net.run(CHANGE_INTERVAL - COMMIT_DELAY);
+            self.check();
+        }
+    }
+}
+
+/// Guards against large updates that two hosts leave to each other for as long as changes go on: the
+/// control host that is the first to send them and has them from another control host, and the
+/// second one.
+#[test]
+fn large_changes_reach_every_host_although_changes_never_pause() {
+    for seed in 0..12 {
+        Changes::new(23, seed).run(30 * SECOND);
+    }
+}
+
+/// Guards against large updates that wait for a parent that has died.
+#[test]
+fn large_changes_reach_every_host_although_a_control_host_has_died() {
+    for seed in 0..6 {
+        let mut changes = Changes::new(23, seed);
+        for control in changes.controls.clone() {
+            changes.run(SECOND);
+            changes.net.kill(&control);
+            changes.excused.insert(control.clone());
+            changes.run(6 * SECOND);
+            changes.net.restart(&control);
+            changes.run(3 * SECOND);
+            changes.excused.clear();
+        }
+    }
+}
+
+/// Guards against hosts in a tree of relays that wait for one another.
+#[test]
+fn large_changes_reach_every_host_of_a_tree_although_heads_and_relays_die() {
+    for seed in 0..3 {
+        let mut changes = Changes::new(140, seed);
+        for _ in 0..4 {
+            let all = changes.net.hosts();
+            let victim = all[changes.net.rng.random_range(0..all.len())].clone();
+            if changes.controls.contains(&victim) {
+                continue;
+            }
+            changes.net.kill(&victim);
+            changes.run(6 * SECOND);
+            changes.net.restart(&victim);
+            changes.excused.insert(victim);
+            changes.run(5 * SECOND);
+            changes.excused.clear();
+        }
+    }
+}
+
+/// Guards against hosts that start and never get a configuration in force while changes go on.
+#[test]
+fn a_host_that_starts_has_the_newest_version_although_changes_never_pause() {
+    for seed in 0..6 {
+        let mut changes = Changes::new(23, seed);
+        for host in changes.net.hosts() {
+            if changes.controls.contains(&host) {
+                continue;
+            }
+            changes.net.restart(&host);
+            changes.excused.insert(host);
+            changes.run(3 * SECOND);
+            changes.excused.clear();
+        }
+    }
+}
