spread: learn from the echo of a heartbeat that an update of the configuration was lost

Callers would see: refusals by an older version on one host for as long as changes come less than a second apart. Cause: a sender supposed that an update had been received until 1 s after the last one it had sent, and each change sent one. A host that missed an update, or got it from another sender in other steps, was sent only deltas that start at a version that it doesn't hold, and rejects them all. Evidence: a_lost_update_is_sent_again_although_changes_never_pause failed before (dc0-h1 stays at version 1 while 3 is due and 12 committed), and holds now. Ruled out: that a lost connection is needed; it clears what was sent, and did before. Change: each update in flight is kept with the number of the last heartbeat before it. Messages of a link arrive in order, so a heartbeat that echoes a later number shows what the receiver made of the update: if it holds less, what is in flight is forgotten and the difference to the held version is sent. This takes two heartbeats whatever is sent meanwhile, and a link that needs seconds for a large update gets it once, not each second.

--- a/crates/decide/src/spread.rs
+++ b/crates/decide/src/spread.rs
@@ -259,7 +259,7 @@
     pub fn on_link_down(&mut self, cx: &mut Cx<'_>, host: &HostId) {
         if let Some(link) = self.links.get_mut(host) {
             link.needs_sync = true;
-            link.config_sent = None;
+            link.forget_config_in_flight();
             link.evacuations_held = 0;
             link.evacuations_sent = None;
         }
--- a/crates/decide/src/spread/config_push.rs
+++ b/crates/decide/src/spread/config_push.rs
@@ -14,9 +14,6 @@
 use crate::spread::msg::{ConfigStatus, ConfigUpdate, SpreadMsg};
 use crate::spread::relay_tree;
 
-/// Time after which an update is sent again if the receiver hasn't reported its version.
-const RESEND_AFTER: Duration = Duration::from_secs(1);
-
 /// Time for which a host must have lacked a version before a parent other than its first sender
 /// sends it a large update.
 const TAKE_OVER_AFTER: Duration = Duration::from_secs(1);
@@ -130,7 +127,7 @@
             return;
         };
         link.version_in_force = theirs.version_in_force;
-        link.held_version = theirs.held_version;
+        link.record_config_held(echo, theirs.held_version);
         if let Some(version) = theirs.version_in_force.filter(|_| link.is_child_only()) {
             self.host_versions.record(from, version);
         }
@@ -170,18 +167,15 @@
         let lacking_since = self.config.lacking_since(link.held_version);
         let recent = lacking_since.is_some_and(|since| cx.now < since + TAKE_OVER_AFTER);
         let leave_to_other_parent = recent && !is_first_sender;
-        let sent = link.config_sent;
-        let sent = sent.filter(|(_, at)| cx.now < *at + RESEND_AFTER);
-        let theirs = link.held_version.max(sent.map(|(version, _)| version));
-        let Some(update) = self.config.update_since(theirs) else {
-            return sent.map(|_| Withheld::InFlight);
+        let Some(update) = self.config.update_since(link.expected_version()) else {
+            return lacking_since.map(|_| Withheld::InFlight);
         };
         // Sent by both parents, a large update would occupy this host's link and the child's for
         // seconds.
         if leave_to_other_parent && update.is_large(LARGE_UPDATE_ENTRIES) {
             return Some(Withheld::LeftToFirstSender);
         }
-        link.config_sent = Some((update.version(), cx.now));
+        link.record_config_sent(update.version());
         cx.send_control(host, SpreadMsg::Config(Box::new(update)));
         None
     }
--- a/crates/decide/src/spread/link.rs
+++ b/crates/decide/src/spread/link.rs
@@ -1,6 +1,6 @@
 //! The state that a host keeps for each host with which it exchanges heartbeats.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use evac::EvacuationVersion;
@@ -49,8 +49,9 @@
     pub version_in_force: Option<ConfigVersion>,
     /// The newest configuration version that the other is known to hold.
     pub held_version: Option<ConfigVersion>,
-    /// The version of the configuration that was last sent, and when.
-    pub config_sent: Option<(ConfigVersion, Instant)>,
+    /// The updates of the configuration that the other may not have processed yet: the version that
+    /// each leads to, and the number of the last heartbeat that was sent before it.
+    config_in_flight: VecDeque<(ConfigVersion, u32)>,
     /// When event 533 last reported that the other lacks a version and is sent no update.
     pub withheld_reported: Option<Instant>,
     /// The newest version of the evacuations that the other is known to hold.
@@ -86,7 +87,7 @@
             deferred: BTreeMap::new(),
             version_in_force: None,
             held_version: None,
-            config_sent: None,
+            config_in_flight: VecDeque::new(),
             withheld_reported: None,
             evacuations_held: 0,
             evacuations_sent: None,
@@ -147,6 +148,38 @@
         heartbeat.map(|(_, at)| *at)
     }
 
+    /// Records an update of the configuration that is sent now.
+    pub fn record_config_sent(&mut self, version: ConfigVersion) {
+        self.config_in_flight
+            .push_back((version, self.last_number_sent));
+    }
+
+    /// Returns the version that the other holds once it has processed all updates sent to it.
+    pub fn expected_version(&self) -> Option<ConfigVersion> {
+        let sent = self.config_in_flight.back().map(|(version, _)| *version);
+        self.held_version.max(sent)
+    }
+
+    /// Records the version that the other holds, by a heartbeat that echoes the number `echo`.
+    ///
+    /// Messages arrive in order, so the other has processed all updates that were sent before the
+    /// echoed heartbeat. If it holds an older version than they lead to, one was lost or could not be
+    /// applied, and the later ones start at a version that it doesn't hold.
+    pub fn record_config_held(&mut self, echo: u32, held: Option<ConfigVersion>) {
+        self.held_version = held;
+        let in_flight = &mut self.config_in_flight;
+        let processed = in_flight.partition_point(|(_, number)| *number < echo);
+        let newest = in_flight.drain(..processed).map(|(version, _)| version);
+        if newest.last() > held {
+            in_flight.clear();
+        }
+    }
+
+    /// Forgets the updates in flight, which may be lost with a broken connection.
+    pub fn forget_config_in_flight(&mut self) {
+        self.config_in_flight.clear();
+    }
+
     /// Compares the end of the other's stream with what was received, to find lost messages.
     pub fn check_stream_end(&mut self, theirs: StreamPosition) {
         self.needs_sync = theirs.stream == 0 || theirs != self.received_position;
--- a/crates/decide/tests/spread_steady_changes.rs
+++ b/crates/decide/tests/spread_steady_changes.rs
@@ -129,6 +129,16 @@
             self.check();
         }
     }
+
+    /// Makes a change of which all updates to a host are lost, without a broken connection.
+    fn change_lost_to(&mut self, host: &HostId) {
+        let others = self.net.hosts().into_iter();
+        let pairs = others.map(|other| (other, host.clone()));
+        self.net.blocked_one_way.extend(pairs);
+        self.change();
+        self.net.run(Duration::from_millis(20));
+        self.net.blocked_one_way.clear();
+    }
 }
 
 /// Guards against large updates that two hosts leave to each other for as long as changes go on: the
@@ -141,6 +151,23 @@
     }
 }
 
+/// Guards against a host that gets only updates that start at a version it has missed, since each
+/// change renewed the time after which its parents sent a lost one again.
+#[test]
+fn a_lost_update_is_sent_again_although_changes_never_pause() {
+    for seed in 0..6 {
+        let mut changes = Changes::new(23, seed);
+        changes.large_every = u64::MAX;
+        for host in changes.net.hosts() {
+            if changes.controls.contains(&host) {
+                continue;
+            }
+            changes.change_lost_to(&host);
+            changes.run(4 * SECOND);
+        }
+    }
+}
+
 /// Guards against large updates that wait for a parent that has died.
 #[test]
 fn large_changes_reach_every_host_although_a_control_host_has_died() {
