raft: make a store a voter that keeps up, although entries are committed all the time

Cause: a learner was made a voter only if an answer of it had all that was committed when the answer came. While changes never pause, and entries take longer to it than to the other voters, no answer does. Change: catch-up rounds, as usual for Raft: a round ends once the member has what was committed when it started; one shorter than the shortest election timeout shows that it keeps up. Class: progress that is measured against the newest change instead of the one that was due.

--- a/crates/decide/src/raft/leader.rs
+++ b/crates/decide/src/raft/leader.rs
@@ -2,7 +2,7 @@
 //! still leads.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::raft::entry::{Entry, EntryData, EntryId, LogIndex};
 use crate::raft::leader_call::PendingCall;
@@ -56,6 +56,10 @@
     snapshot_in_flight_until: Option<Instant>,
     /// The newest round that the member has answered.
     answered_round: ConfirmationRound,
+    /// The commit index when the current catch-up round started, and when that was.
+    catch_up_round: Option<(LogIndex, Instant)>,
+    /// When the member last ended a catch-up round within the shortest election timeout.
+    caught_up_at: Option<Instant>,
     /// When its last answer came, except for answers to rounds while it has not confirmed the last
     /// entries or snapshot.
     pub(crate) last_heard_at: Option<Instant>,
@@ -75,6 +79,8 @@
             unanswered_appends: 0,
             snapshot_in_flight_until: None,
             answered_round: 0,
+            catch_up_round: None,
+            caught_up_at: None,
             last_heard_at: None,
             unconfirmed_timestamp: None,
             confirmed_timestamp: None,
@@ -91,6 +97,33 @@
         self.append_in_flight_until.is_some() || self.snapshot_in_flight_until.is_some()
     }
 
+    /// Ends the catch-up round once the member has all that was committed when it started, and
+    /// starts the next one.
+    ///
+    /// A round shorter than `limit` shows that the member keeps up, also while entries are committed
+    /// all the time.
+    fn update_catch_up(&mut self, commit_index: LogIndex, now: Instant, limit: Duration) {
+        let (target, since) = *self.catch_up_round.get_or_insert((commit_index, now));
+        if self.match_index < target {
+            return;
+        }
+        if now < since + limit {
+            self.caught_up_at = Some(now);
+        }
+        self.catch_up_round = Some((commit_index, now));
+    }
+
+    /// Returns whether the member has all that is committed, or did within the last `limit`.
+    pub(crate) fn has_caught_up(
+        &self,
+        commit_index: LogIndex,
+        now: Instant,
+        limit: Duration,
+    ) -> bool {
+        let recently = self.caught_up_at.is_some_and(|at| now < at + limit);
+        self.match_index >= commit_index || recently
+    }
+
     /// Keeps the timestamp of an answer until a round that was started after its arrival is
     /// confirmed; later timestamps are dropped until then. `confirmed_at` is the start of the
     /// newest confirmed round.
@@ -279,6 +312,8 @@
             peer.next_index = (reply.match_hint + 1).clamp(peer.match_index + 1, last_index + 1);
             peer.append_in_flight_until = None;
         }
+        let limit = cx.settings.raft.election_min;
+        peer.update_catch_up(self.commit_index, cx.now, limit);
         let behind = peer.next_index <= last_index && !peer.has_snapshot_in_flight(cx.now);
         self.confirm_answered_rounds(cx);
         self.advance_commit_index(cx);
--- a/crates/decide/src/raft/membership_change.rs
+++ b/crates/decide/src/raft/membership_change.rs
@@ -88,7 +88,7 @@
         let learners = self.membership.learners.iter();
         let member = learners
             .filter(|learner| !enough_voters || replaces(learner))
-            .find(|learner| self.is_live(cx, learner) && self.has_caught_up(learner))?
+            .find(|learner| self.is_live(cx, learner) && self.has_caught_up(cx, learner))?
             .clone();
         let mut membership = self.membership.clone();
         membership.learners.remove(&member);
@@ -246,13 +246,14 @@
         leader.peers.get(member)?.last_heard_at
     }
 
-    /// Returns whether a member's log has all that is committed.
-    fn has_caught_up(&self, member: &Member) -> bool {
+    /// Returns whether a member's log keeps up with what is committed.
+    fn has_caught_up(&self, cx: &Cx<'_>, member: &Member) -> bool {
         let RaftRole::Leader(leader) = &self.role else {
             return false;
         };
         let peer = leader.peers.get(member);
-        peer.is_some_and(|peer| peer.match_index >= self.commit_index)
+        let limit = cx.settings.raft.election_min;
+        peer.is_some_and(|peer| peer.has_caught_up(self.commit_index, cx.now, limit))
     }
 
     /// Answers the calls that waited for a membership, and steps down if this member is no longer a
--- a/crates/decide/tests/raft/harness.rs
+++ b/crates/decide/tests/raft/harness.rs
@@ -67,6 +67,8 @@
     pub(crate) write_in_flight: Option<(Instant, Persist)>,
     /// Until when the disk is full, so that no write is synced.
     pub(crate) disk_full_until: Instant,
+    /// What each sync takes on this host beyond the time that `Conditions` draw.
+    pub(crate) more_sync_time: Duration,
     pub(crate) rng: SmallRng,
     /// The newest version that the host has reported as committed since it started.
     pub(crate) committed_version: ConfigVersion,
@@ -185,6 +187,7 @@
             is_up: false,
             write_in_flight: None,
             disk_full_until: self.start,
+            more_sync_time: Duration::ZERO,
             rng: SmallRng::seed_from_u64(self.rng.random()),
             committed_version: 0,
             confirmed: None,
--- a/crates/decide/tests/raft/main.rs
+++ b/crates/decide/tests/raft/main.rs
@@ -17,3 +17,4 @@
 mod scripts;
 mod simulation;
 mod slow_disks;
+mod steady_changes;
--- a/crates/decide/tests/raft/simulation.rs
+++ b/crates/decide/tests/raft/simulation.rs
@@ -143,6 +143,7 @@
                         .max_sync_time
                         .mul_f64(self.rng.random::<f64>());
                 let host = self.hosts.get_mut(name).unwrap();
+                let at = at + host.more_sync_time;
                 assert!(
                     host.write_in_flight.is_none(),
                     "two writes at a time on {name}"
