raft: bound the entries of one message by bytes

Cause: one message held up to 64 entries whatever their size, each with the configuration parsed and as it was sent, on the link that carries heartbeats too, and was sent again while unanswered. Change: a message holds entries of about 1 MiB, or one larger entry.

--- a/crates/decide/src/raft/entry.rs
+++ b/crates/decide/src/raft/entry.rs
@@ -66,6 +66,25 @@
     Evacuation(RecordedOrder),
 }
 
+/// Approximate bytes of an entry or a change without its larger parts.
+const SMALL_ENTRY_BYTES: usize = 128;
+
+impl EntryData {
+    /// Returns about how many bytes the entry takes in a message.
+    pub(crate) fn approximate_bytes(&self) -> usize {
+        match self {
+            // It holds the configuration twice: parsed, and as it was sent.
+            Self::Replace(replacement) => SMALL_ENTRY_BYTES + 2 * replacement.document.len(),
+            Self::Patch(patch) => SMALL_ENTRY_BYTES * (1 + patch.changes.len()),
+            Self::Noop
+            | Self::PromotionOrder(_)
+            | Self::AssignShareIndex(_)
+            | Self::Membership(_)
+            | Self::Evacuation(_) => SMALL_ENTRY_BYTES,
+        }
+    }
+}
+
 /// A promotion order to the platform that the leader of consensus wants numbered.
 ///
 /// The index of the entry becomes the number and fencing token of the order.
--- a/crates/decide/src/raft/leader.rs
+++ b/crates/decide/src/raft/leader.rs
@@ -18,6 +18,10 @@
 /// longest interval between sending the same entries again.
 const RESEND_HEARTBEATS_MAX: u32 = 20;
 
+/// About how many bytes of entries one message holds at most, unless its only entry is larger: a
+/// longer message would hold up the heartbeats behind it.
+const APPEND_BYTES_MAX: usize = 1 << 20;
+
 /// Volatile state of a leader, lost when it steps down.
 #[derive(Debug)]
 pub(crate) struct LeaderState {
@@ -250,7 +254,9 @@
             .is_some_and(|until| cx.now < until);
         let entries = match prev_entry {
             Some(prev_entry) if !append_in_flight => {
-                self.log.entries_after(prev_entry.index, settings.batch)
+                let max_bytes = APPEND_BYTES_MAX;
+                self.log
+                    .batch_after(prev_entry.index, settings.batch, max_bytes)
             }
             _ => Vec::new(),
         };
--- a/crates/decide/src/raft/log.rs
+++ b/crates/decide/src/raft/log.rs
@@ -50,6 +50,25 @@
         self.entries.iter().skip(skip).take(max).cloned().collect()
     }
 
+    /// Returns up to `max_entries` entries after an index, of about `max_bytes` at most; the first one
+    /// whatever its size.
+    pub(crate) fn batch_after(
+        &self,
+        index: LogIndex,
+        max_entries: usize,
+        max_bytes: usize,
+    ) -> Vec<Entry> {
+        let skip = index.saturating_sub(self.base_id.index);
+        let skip = usize::try_from(skip).unwrap_or(usize::MAX);
+        let mut bytes = 0;
+        let entries = self.entries.iter().skip(skip).take(max_entries);
+        let fitting = entries.enumerate().take_while(|(nth, entry)| {
+            bytes += entry.data.approximate_bytes();
+            *nth == 0 || bytes <= max_bytes
+        });
+        fitting.map(|(_, entry)| entry.clone()).collect()
+    }
+
     /// Appends an entry after cutting off those with the same or higher indexes.
     pub(crate) fn truncate_and_append(&mut self, entry: Entry) {
         let keep = entry.id.index.saturating_sub(self.base_id.index + 1);
--- a/crates/decide/tests/raft/steady_changes.rs
+++ b/crates/decide/tests/raft/steady_changes.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use decide::Msg;
 use decide::call::Call;
+use decide::raft::{MemberMsg, RaftMsg};
 use model::Config;
 use model::config::Replacement;
 
@@ -55,3 +57,42 @@
         }
     }
 }
+
+/// Guards against entries sent in one message of tens of megabytes, which holds up the heartbeats
+/// behind it, to a store that has missed many large configurations.
+#[test]
+fn large_entries_come_to_a_store_in_messages_of_bounded_size() {
+    const DOCUMENT_BYTES: usize = 200_000;
+    const MESSAGE_BYTES_MAX: usize = 1 << 20;
+    let mut sim = Sim::start_with_patch(1);
+    let leader = sim.leader().expect("a leader");
+    let name = if &*leader == "a" { "b" } else { "a" };
+    sim.stop_host(name);
+    for version in 101..=140 {
+        replace_next(&mut sim, version, DOCUMENT_BYTES);
+        sim.run_for(Duration::from_millis(50));
+    }
+    sim.start_host(name);
+    let until = sim.now + CATCH_UP;
+    let mut longest = 0;
+    while sim.now < until {
+        sim.run_for(Duration::from_millis(1));
+        let sizes = sim
+            .messages_in_flight
+            .values()
+            .map(|(_, _, msg)| match msg {
+                Msg::Raft(RaftMsg::Member(envelope)) => match &envelope.msg {
+                    MemberMsg::AppendEntries(append) => append
+                        .entries
+                        .iter()
+                        .map(|entry| postcard::to_stdvec(entry).map_or(0, |bytes| bytes.len()))
+                        .sum(),
+                    _ => 0,
+                },
+                _ => 0,
+            });
+        longest = longest.max(sizes.max().unwrap_or(0));
+    }
+    assert!(longest <= MESSAGE_BYTES_MAX, "a message of {longest} bytes");
+    assert_eq!(sim.hosts[name].committed_version, 140);
+}
