soak: change the configuration in series, and ask each host for each change after its bound

Change: the trouble 'changes' has an operator that changes routes and keys each 100 to 450 ms, by few entries and by 100, with a rest now and then. Each entry host in touch is asked for the newest change that is due (3 s, 15 s while a control host was disturbed within the stable window), for routes that were removed and for keys that were withdrawn 5 s before; changes go on for 11 s after the last fault. Runs may have several entry hosts in a data centre.

--- a/crates/carawayd/tests/platform_soak.rs
+++ b/crates/carawayd/tests/platform_soak.rs
@@ -3,7 +3,7 @@
 //!
 //! `SOAK_SEEDS=1..51 SOAK_TIME=20s cargo test --release -p carawayd --test platform_soak -- --nocapture`
 //! runs more seeds, for longer; `SOAK_TROUBLES=odd-bytes,cuts` sets the kinds of trouble of the test
-//! `chosen`. The same seed draws the same faults, but their effects also depend on timing.
+//! `chosen`, and `SOAK_ENTRY_HOSTS=9` its number of entry hosts. The same seed draws the same faults, but their effects also depend on timing.
 #![allow(clippy::unwrap_used, reason = "a test that meets an error ends there")]
 
 use std::collections::BTreeSet;
@@ -42,8 +42,13 @@
     })
 }
 
-/// Runs all seeds with these kinds of trouble, and fails if any guarantee is broken.
+/// Runs all seeds with these kinds of trouble on the smallest fleet.
 async fn soak(troubles: &[Trouble], ci_seeds: &[u64], default_secs: u64) {
+    soak_fleet(Setup::ENTRY_HOSTS, troubles, ci_seeds, default_secs).await;
+}
+
+/// Runs all seeds with these kinds of trouble, and fails if any guarantee is broken.
+async fn soak_fleet(entry_hosts: usize, troubles: &[Trouble], ci_seeds: &[u64], default_secs: u64) {
     let _permit = FLEETS.acquire().await.unwrap();
     let mut failed = Vec::new();
     for seed in seeds(ci_seeds) {
@@ -52,6 +57,7 @@
             seed,
             time: soak_time(default_secs),
             troubles: troubles.iter().copied().collect::<BTreeSet<_>>(),
+            entry_hosts,
         };
         let outcome = run(&setup).await;
         println!(
@@ -119,6 +125,19 @@
     soak(&[Trouble::Evacuations, Trouble::Hosts], &[CI_SEED], 16).await;
 }
 
+/// Guards against hosts that keep an older configuration while changes never pause: each change is
+/// asked for on every entry host after its bound, on a fleet with several hosts in a data centre.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn each_change_is_in_force_on_every_host_in_time() {
+    soak_fleet(9, &[Trouble::Changes], &[CI_SEED], 10).await;
+}
+
+/// Guards against hosts that miss changes around restarts, suspensions and stops of hosts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn each_change_is_in_force_in_time_while_hosts_restart() {
+    soak(&[Trouble::Changes, Trouble::Hosts], &[CI_SEED], 8).await;
+}
+
 /// Runs the kinds of `SOAK_TROUBLES`, and nothing if it isn't set.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn chosen() {
@@ -130,5 +149,7 @@
     assert_eq!(names.iter().filter(named).count(), names.len(), "{names:?}");
     let chosen = Trouble::ALL.into_iter();
     let chosen: Vec<Trouble> = chosen.filter(|kind| names.contains(&kind.name())).collect();
-    soak(&chosen, &[CI_SEED], 8).await;
+    let entry_hosts = std::env::var("SOAK_ENTRY_HOSTS").ok();
+    let entry_hosts = entry_hosts.map_or(Setup::ENTRY_HOSTS, |text| text.parse().unwrap());
+    soak_fleet(entry_hosts, &chosen, &[CI_SEED], 8).await;
 }
