spread: send large updates up the tree from control hosts only

Cause: a host without links to control hosts found no first sender for a head or a control host and took itself for it, so that each relay sent each large update up to its heads: 176 copies to 140 hosts. The search for the first sender also ran on each heartbeat of each link. Change: only control hosts are first senders to heads and control hosts; the first sender is looked for only where a large update is due.

--- a/crates/decide/src/spread/config_push.rs
+++ b/crates/decide/src/spread/config_push.rs
@@ -162,19 +162,20 @@
     /// The evacuations go first, so that no configuration comes into force without them.
     fn push_config(&mut self, cx: &mut Cx<'_>, host: &HostId) -> Option<Withheld> {
         self.push_evacuations(cx, host);
-        let is_first_sender = self.is_first_sender_to(host);
-        let link = self.links.get_mut(host)?;
-        let lacking_since = self.config.lacking_since(link.held_version);
-        let recent = lacking_since.is_some_and(|since| cx.now < since + TAKE_OVER_AFTER);
-        let leave_to_other_parent = recent && !is_first_sender;
+        let link = self.links.get(host)?;
+        let lacking_since = self.config.lacking_since(link.held_version)?;
         let Some(update) = self.config.update_since(link.expected_version()) else {
-            return lacking_since.map(|_| Withheld::InFlight);
+            return Some(Withheld::InFlight);
         };
         // Sent by both parents, a large update would occupy this host's link and the child's for
         // seconds.
-        if leave_to_other_parent && update.is_large(LARGE_UPDATE_ENTRIES) {
+        if update.is_large(LARGE_UPDATE_ENTRIES)
+            && cx.now < lacking_since + TAKE_OVER_AFTER
+            && !self.is_first_sender_to(host)
+        {
             return Some(Withheld::LeftToFirstSender);
         }
+        let link = self.links.get_mut(host)?;
         link.record_config_sent(update.version());
         cx.send_control(host, SpreadMsg::Config(Box::new(update)));
         None
@@ -189,15 +190,15 @@
         let is_head = self.tree.heads().contains(host);
         let parents = if is_local && !is_head && !self.is_control_host(host) {
             self.tree.parents(host)
-        } else {
+        } else if self.me.is_control_host {
             let others = self
                 .other_control_hosts
                 .iter()
                 .filter(|other| *other != host && self.links.contains_key(*other));
-            relay_tree::best_by_rendezvous(
-                host,
-                others.chain(self.me.is_control_host.then_some(&self.me.host)),
-            )
+            relay_tree::best_by_rendezvous(host, others.chain([&self.me.host]))
+        } else {
+            // Control hosts send to one another and to heads.
+            return false;
         };
         let first = parents
             .iter()
