spread: let both heads of a data centre send large updates

Callers would see: a large change late on all hosts below a head whose link is slow. Cause: the tree lists heads by rank, so the first one was the first sender for each relay, and the second one sent next to nothing. Change: among its parents, a host's first sender is chosen by rendezvous.

--- a/crates/decide/src/spread/config_push.rs
+++ b/crates/decide/src/spread/config_push.rs
@@ -189,7 +189,8 @@
         let is_local = receiver.is_some_and(|(info, _)| info.data_centre == self.me.data_centre);
         let is_head = self.tree.heads().contains(host);
         let parents = if is_local && !is_head && !self.is_control_host(host) {
-            self.tree.parents(host)
+            // The tree lists the heads by rank; by rendezvous each is first for some hosts.
+            relay_tree::best_by_rendezvous(host, &self.tree.parents(host))
         } else if self.me.is_control_host {
             let others = self
                 .other_control_hosts
--- a/crates/decide/tests/spread_steady_changes.rs
+++ b/crates/decide/tests/spread_steady_changes.rs
@@ -222,3 +222,25 @@
         }
     }
 }
+
+/// Guards against a large change that one head of a data centre sends to all relays, so that its
+/// link holds it up for all of them.
+#[test]
+fn both_heads_of_a_data_centre_send_large_changes() {
+    for seed in 0..3 {
+        let mut changes = Changes::new(140, seed);
+        changes.large_every = 1;
+        changes.net.count_bytes = true;
+        changes.net.sent_by_host.clear();
+        changes.run(SECOND);
+        let mut entry = changes.net.hosts().into_iter();
+        let entry = entry.find(|host| !changes.controls.contains(host));
+        let entry = entry.expect("an entry host");
+        let heads = changes.net.nodes[&entry].spread.tree().heads().to_vec();
+        let sent = heads.iter().map(|head| changes.net.sent_by_host[head].1);
+        let (least, most) = (sent.clone().min(), sent.max());
+        let (least, most) = (least.unwrap_or(0), most.unwrap_or(0));
+        println!("least={least} most={most}");
+        assert!(most < least * 3, "one head sends {most} bytes, one {least}");
+    }
+}
