spread: defer a fact from its first change on

One that changes more often was never sent there. Evidence: a_fact_that_changes_all_the_time_is_deferred_from_its_first_change_on failed before. Change: a fact that is deferred already keeps its time.

--- a/crates/decide/src/spread/link.rs
+++ b/crates/decide/src/spread/link.rs
@@ -229,8 +229,9 @@
                 self.pending.insert(key.clone());
             }
             Some(_) if self.pending.contains(key) => {}
+            // A fact that changes often would never be sent if each change renewed its time.
             Some(now) => {
-                self.deferred.insert(key.clone(), now);
+                self.deferred.entry(key.clone()).or_insert(now);
             }
         }
     }
--- a/crates/decide/tests/spread_steady_changes.rs
+++ b/crates/decide/tests/spread_steady_changes.rs
@@ -6,6 +6,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use decide::spread::facts::FactKey;
+use decide::spread::link::Link;
 use model::config::{ReadRule, Route};
 use model::{Config, ConfigVersion, HostId};
 use rand::Rng;
@@ -244,3 +246,17 @@
         assert!(most < least * 3, "one head sends {most} bytes, one {least}");
     }
 }
+
+/// Guards against a fact that is never sent over a link between heads, since each of its changes
+/// renews the time for which it waits for another sender.
+#[test]
+fn a_fact_that_changes_all_the_time_is_deferred_from_its_first_change_on() {
+    let start = Instant::now();
+    let mut link = Link::new(start, 0);
+    link.start_stream(1, start);
+    let key = FactKey::Host("host".into());
+    for change in 0..10 {
+        link.queue_fact(&key, Some(start + CHANGE_INTERVAL * change));
+    }
+    assert_eq!(link.deferred[&key], start);
+}
