--- a/crates/decide/src/spread/link.rs
+++ b/crates/decide/src/spread/link.rs
@@ -169,8 +169,8 @@
         self.held_version = held;
         let in_flight = &mut self.config_in_flight;
         let processed = in_flight.partition_point(|(_, number)| *number < echo);
-        let newest = in_flight.drain(..processed).map(|(version, _)| version);
-        if newest.last() > held {
+        let last = in_flight.drain(..processed).next_back();
+        if last.map(|(version, _)| version) > held {
             in_flight.clear();
         }
     }
