--- a/crates/decide/tests/spread_steady_changes.rs
+++ b/crates/decide/tests/spread_steady_changes.rs
@@ -16,6 +16,8 @@
 const SECOND: Duration = Duration::from_secs(1);
 /// Time after its commit within which a change must be in force on every host.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(3);
+/// Time after a fault from which on a host must keep the bound (`stable-window-ms`).
+const STABLE_WINDOW: Duration = Duration::from_secs(4);
 /// Pause between two changes.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(330);
 /// Time from a commit on the leader of consensus to the commit on its followers, longer than the
@@ -36,6 +38,8 @@
     /// Hosts from which nothing is asked, as they are down or have just started.
     excused: BTreeSet<HostId>,
     large_every: u64,
+    /// Control hosts on which consensus commits nothing, as they lag behind or are no members.
+    lagging: BTreeSet<HostId>,
 }
 
 impl Changes {
@@ -62,6 +66,7 @@
             committed: BTreeMap::new(),
             excused: BTreeSet::new(),
             large_every: LARGE_EVERY,
+            lagging: BTreeSet::new(),
         }
     }
 
@@ -88,7 +93,8 @@
                 .insert(format!("r{version}-{nth}").into(), route);
         }
         let running = self.net.hosts();
-        let up = self.controls.iter().filter(|host| running.contains(host));
+        let up = self.controls.difference(&self.lagging);
+        let up = up.filter(|host| running.contains(host));
         let up: Vec<HostId> = up.cloned().collect();
         let leader = up.iter().find(|host| **host == self.leader);
         let leader = leader.unwrap_or(&up[0]).clone();
@@ -187,6 +193,60 @@
     }
 }
 
+/// Guards against hosts below a control host on which consensus lags behind.
+#[test]
+fn large_changes_reach_every_host_although_a_control_host_lags_behind() {
+    for seed in 0..6 {
+        let mut changes = Changes::new(23, seed);
+        let leader = changes.leader.clone();
+        for control in changes.controls.clone() {
+            if control != leader {
+                changes.lagging = BTreeSet::from([control]);
+                changes.run(6 * SECOND);
+            }
+        }
+    }
+}
+
+/// Guards against hosts of a data centre that was cut off and don't catch up while changes go on.
+#[test]
+fn a_data_centre_that_was_cut_off_catches_up_although_changes_never_pause() {
+    for seed in 0..6 {
+        let mut changes = Changes::new(23, seed);
+        let home = format!("dc{}", (seed + 1) % 4);
+        changes.excused = changes.net.hosts_in(&home).into_iter().collect();
+        changes.lagging = changes
+            .excused
+            .intersection(&changes.controls)
+            .cloned()
+            .collect();
+        changes.net.cut_off_data_centres.insert(home);
+        changes.run(5 * SECOND);
+        changes.net.cut_off_data_centres.clear();
+        changes.lagging.clear();
+        changes.run(STABLE_WINDOW);
+        changes.excused.clear();
+        changes.run(6 * SECOND);
+    }
+}
+
+/// Guards against hosts that start at the same moment and wait for one another while changes go on.
+#[test]
+fn all_entry_hosts_that_start_at_once_catch_up_although_changes_never_pause() {
+    for seed in 0..2 {
+        let mut changes = Changes::new(140, seed);
+        for host in changes.net.hosts() {
+            if !changes.controls.contains(&host) {
+                changes.net.restart(&host);
+                changes.excused.insert(host);
+            }
+        }
+        changes.run(STABLE_WINDOW);
+        changes.excused.clear();
+        changes.run(6 * SECOND);
+    }
+}
+
 /// Guards against hosts in a tree of relays that wait for one another.
 #[test]
 fn large_changes_reach_every_host_of_a_tree_although_heads_and_relays_die() {
