--- a/crates/decide/tests/spread_net/mod.rs
+++ b/crates/decide/tests/spread_net/mod.rs
@@ -8,8 +8,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use decide::spread::{Seed, Spread, SpreadMsg};
-use decide::{Cx, Effect, Event, Msg, Settings, View};
+use decide::spread::{Seed, Spread, SpreadLogEvent, SpreadMsg};
+use decide::{Cx, Effect, Event, LogEvent, Msg, Settings, View};
 use model::{Announcement, CONTROL_PART, Config, HostId, HostInfo, PartAddr, PartId, UpstreamId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -62,6 +62,10 @@
     pub(crate) blocked_pairs: BTreeSet<(HostId, HostId)>,
     /// Pairs of hosts of which the first can't send to the second.
     pub(crate) blocked_one_way: BTreeSet<(HostId, HostId)>,
+    /// A host to which all updates of the configuration are lost.
+    pub(crate) no_config_to: Option<HostId>,
+    /// The reports of hosts that lack a version of the configuration.
+    pub(crate) lag_reports: Vec<(HostId, SpreadLogEvent)>,
     /// Whether a lost message breaks no connection that the hosts would notice.
     pub(crate) silent_loss: bool,
     /// One in this many messages is lost; zero for none.
@@ -119,6 +123,8 @@
             cut_off_data_centres: BTreeSet::new(),
             blocked_pairs: BTreeSet::new(),
             blocked_one_way: BTreeSet::new(),
+            no_config_to: None,
+            lag_reports: Vec::new(),
             silent_loss: false,
             lost_one_in: 0,
             latency: Duration::from_millis(1),
@@ -257,6 +263,9 @@
                     to,
                     msg: Msg::Spread(msg),
                 } => self.send(host, to, msg),
+                Effect::Log(LogEvent::Spread(event @ SpreadLogEvent::ConfigBehind { .. })) => {
+                    self.lag_reports.push((host.clone(), event));
+                }
                 _ => {}
             }
         }
@@ -394,6 +403,8 @@
                 let lost = self
                     .blocked_one_way
                     .contains(&(from.host.clone(), to.clone()));
+                let is_config = matches!(*msg, SpreadMsg::Config(_));
+                let lost = lost || is_config && self.no_config_to.as_ref() == Some(&to);
                 if !lost && self.is_connected(&from.host, &to) && self.nodes[&from.host].running {
                     if let Some(backlog) = self.backlogs.get_mut(&to) {
                         return backlog.push(NetEvent::Message(from, to, msg));
--- a/crates/decide/tests/spread_steady_changes.rs
+++ b/crates/decide/tests/spread_steady_changes.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use decide::spread::SpreadLogEvent;
 use decide::spread::facts::FactKey;
 use decide::spread::link::Link;
 use model::config::{ReadRule, Route};
@@ -320,3 +321,37 @@
     }
     assert_eq!(link.deferred[&key], start);
 }
+
+/// Guards against a log that can't tell which version a host lacks, since when and who knows it, and
+/// against lines without bound while that lasts.
+#[test]
+fn a_host_that_lacks_a_version_reports_it_once_a_second() {
+    let mut changes = Changes::new(23, 1);
+    let hosts = changes.net.hosts().into_iter();
+    let mut entry = hosts.filter(|host| !changes.controls.contains(host));
+    let host = entry.next().expect("an entry host");
+    changes.net.no_config_to = Some(host.clone());
+    changes.excused.insert(host.clone());
+    let held = changes.net.config.version;
+    changes.run(6 * SECOND);
+    let reports = std::mem::take(&mut changes.net.lag_reports);
+    assert!((4..=6).contains(&reports.len()), "{reports:?}");
+    for (nth, (of, report)) in reports.iter().enumerate() {
+        let SpreadLogEvent::ConfigBehind {
+            held: reported,
+            newest,
+            lacking,
+            ..
+        } = report
+        else {
+            panic!("{report:?}");
+        };
+        assert_eq!((of, *reported), (&host, held));
+        assert!(*newest > held && *lacking >= SECOND * (nth as u32 + 1));
+    }
+    changes.net.no_config_to = None;
+    changes.run(SECOND);
+    changes.excused.clear();
+    changes.run(3 * SECOND);
+    assert!(changes.net.lag_reports.is_empty());
+}
