--- a/crates/decide/src/spread.rs
+++ b/crates/decide/src/spread.rs
@@ -116,7 +116,7 @@
     pub(crate) is_started: bool,
     pub(crate) config: ConfigInForce,
     /// The host that sent the held configuration; `None` if consensus committed it here.
-    pub(crate) config_from: Option<HostId>,
+    pub(crate) config_sender: Option<HostId>,
     /// The versions that this host lacks, as far as it has heard of them.
     pub(crate) config_lag: ConfigLag,
     /// When the configuration may come into force or stop being usable.
@@ -168,7 +168,7 @@
             flush_at: None,
             is_started: false,
             config: ConfigInForce::new(now),
-            config_from: None,
+            config_sender: None,
             config_lag: ConfigLag::new(now),
             config_wake_at: None,
             config_usable_until: None,
--- a/crates/decide/src/spread/config_lag.rs
+++ b/crates/decide/src/spread/config_lag.rs
@@ -43,7 +43,7 @@
     /// When the host heard of each of them.
     newer: VersionTimes,
     /// The host that reported the newest of them.
-    newest_at: Option<HostId>,
+    newest_holder: Option<HostId>,
     /// The host whose update could not be applied since the held version last changed.
     rejected_from: Option<HostId>,
     report_at: Instant,
@@ -54,7 +54,7 @@
     pub fn new(now: Instant) -> Self {
         Self {
             newer: VersionTimes::default(),
-            newest_at: None,
+            newest_holder: None,
             rejected_from: None,
             report_at: now,
         }
@@ -69,7 +69,7 @@
         now: Instant,
     ) {
         if Some(version) > held && Some(version) > self.newer.newest() {
-            self.newest_at = Some(host.clone());
+            self.newest_holder = Some(host.clone());
             self.newer.record(version, now, REMEMBERED_VERSIONS);
         }
     }
@@ -89,7 +89,7 @@
         Some(SpreadLogEvent::ConfigBehind {
             held: held.unwrap_or(0),
             newest: self.newer.newest()?,
-            known_by: self.newest_at.clone()?,
+            known_by: self.newest_holder.clone()?,
             lacking,
             rejected_from: self.rejected_from.clone(),
         })
@@ -161,13 +161,13 @@
             return;
         };
         let lacking = cx.now.saturating_duration_since(since);
-        let reported = link.withheld_reported;
+        let reported = link.withheld_reported_at;
         let is_due = reported.is_none_or(|at| cx.now >= at + REPORT_INTERVAL);
         // A host without a configuration gets the whole one, which may take longer.
         if held.is_none() || lacking < REPORT_INTERVAL || !is_due {
             return;
         }
-        link.withheld_reported = Some(cx.now);
+        link.withheld_reported_at = Some(cx.now);
         cx.log(SpreadLogEvent::ConfigWithheld {
             host: host.clone(),
             held: held.unwrap_or(0),
--- a/crates/decide/src/spread/config_push.rs
+++ b/crates/decide/src/spread/config_push.rs
@@ -59,7 +59,7 @@
         from: Option<&HostId>,
         previous: Option<ConfigVersion>,
     ) {
-        self.config_from = from.cloned();
+        self.config_sender = from.cloned();
         self.record_held_version();
         if self.config.in_force().is_some() {
             self.view_changed = true;
@@ -101,7 +101,7 @@
             cx.log(SpreadLogEvent::ConfigInForce {
                 version: config.version,
                 reason,
-                from: self.config_from.clone(),
+                from: self.config_sender.clone(),
                 previous: previous.unwrap_or(0),
             });
         }
--- a/crates/decide/src/spread/link.rs
+++ b/crates/decide/src/spread/link.rs
@@ -53,7 +53,7 @@
     /// each leads to, and the number of the last heartbeat that was sent before it.
     config_in_flight: VecDeque<(ConfigVersion, u32)>,
     /// When event 533 last reported that the other lacks a version and is sent no update.
-    pub withheld_reported: Option<Instant>,
+    pub withheld_reported_at: Option<Instant>,
     /// The newest version of the evacuations that the other is known to hold.
     pub evacuations_held: EvacuationVersion,
     /// The version of the evacuations that was last sent, and when.
@@ -88,7 +88,7 @@
             version_in_force: None,
             held_version: None,
             config_in_flight: VecDeque::new(),
-            withheld_reported: None,
+            withheld_reported_at: None,
             evacuations_held: 0,
             evacuations_sent: None,
             sent_heartbeats: Vec::new(),
