authority: an order seen to take effect before its answer is not in doubt

The instance ordered to lead reported its new term (355) 1 s before the platform's answer arrived (354). The answer then started the wait for a report that it leads, by when it had been cut off (356, does-not-lead), and the order counted as one that may still be carried out for 20 s. All terms' acknowledgements stay stopped that long.

Change: while the answer is outstanding, a report of the ordered instance with a new term ends the attempt, if no other order could be carried out when this one was sent. With another order in doubt it does not: that one may have made the instance lead.

--- a/crates/decide/src/authority/failover.rs
+++ b/crates/decide/src/authority/failover.rs
@@ -263,6 +263,7 @@
         self.stage = FailoverStage::AwaitingAnswer {
             number,
             upstream: chosen.clone(),
+            is_only_order: !self.doubt.is_open(),
             deadline: cx.now + ORDER_TIMEOUT,
         };
     }
--- a/crates/decide/src/authority/order_doubt.rs
+++ b/crates/decide/src/authority/order_doubt.rs
@@ -14,6 +14,9 @@
 
 /// How long after it was sent or accepted an order may be carried out; the platform states 12 s.
 pub(crate) const LATE_ORDER_TIME: Duration = Duration::from_secs(20);
+/// Pause before the next attempt to replace a draining primary that leads again because no replica
+/// had all its writes.
+const DRAINING_PRIMARY_PAUSE: Duration = Duration::from_secs(1);
 
 /// Orders that may be carried out until a certain time.
 #[derive(Debug)]
@@ -176,6 +179,41 @@
         });
     }
 
+    /// Returns whether the order of this attempt has taken effect, now that its instance reports to
+    /// lead in `term`.
+    ///
+    /// Before the platform's answer only a new term shows it, and only of the one order that could
+    /// be carried out.
+    pub(crate) fn order_took_effect(&self, leader: &UpstreamId, term: Term) -> bool {
+        match &self.stage {
+            FailoverStage::ConfirmingPrimary { upstream, .. } => upstream == leader,
+            FailoverStage::AwaitingAnswer {
+                upstream,
+                is_only_order,
+                ..
+            } => *is_only_order && upstream == leader && term > self.primary_term(),
+            _ => false,
+        }
+    }
+
+    /// Ends the attempt whose order has taken effect: no other order may be carried out any more.
+    pub(crate) fn end_attempt_by_primary(&mut self, cx: &Cx<'_>, leader: &UpstreamId) {
+        let pause = if self.drains(leader) {
+            DRAINING_PRIMARY_PAUSE
+        } else {
+            Duration::ZERO
+        };
+        self.stage = FailoverStage::Idle {
+            next_attempt_at: cx.now + pause,
+        };
+        self.doubt.on_leads(leader, true);
+        self.earlier_orders_void = true;
+        self.ordered_to_lead.clear();
+        for member in self.members.values_mut() {
+            member.on_promotion(cx.now);
+        }
+    }
+
     /// Ends an attempt that has sent no order if all orders in doubt promote the instance that leads.
     pub(crate) fn end_attempt_if_settled_by(&mut self, leader: &UpstreamId, now: Instant) {
         let is_fencing = matches!(self.stage, FailoverStage::Fencing { .. });
--- a/crates/decide/src/authority/service.rs
+++ b/crates/decide/src/authority/service.rs
@@ -23,9 +23,6 @@
 pub(crate) const FAST_PROBE_INTERVAL: Duration = Duration::from_millis(60);
 /// Pause after a failed attempt or a change of leader before the next attempt.
 pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(300);
-/// Pause before the next attempt to replace a draining primary that leads again because no replica
-/// had all its writes.
-const DRAINING_PRIMARY_PAUSE: Duration = Duration::from_secs(1);
 
 /// Progress of the attempt to replace the primary.
 #[derive(Debug)]
@@ -57,6 +54,8 @@
     AwaitingAnswer {
         number: LogIndex,
         upstream: UpstreamId,
+        /// Whether no other order could still be carried out when this one was sent.
+        is_only_order: bool,
         deadline: Instant,
     },
     /// The platform has accepted the order; waits until the instance reports that it is primary.
@@ -293,23 +292,8 @@
         self.no_primary_since = None;
         self.has_demoted_primary = false;
         self.ack_stops.on_primary_confirmed();
-        if let FailoverStage::ConfirmingPrimary { upstream, .. } = &self.stage
-            && upstream == id
-        {
-            let pause = if self.drains(id) {
-                DRAINING_PRIMARY_PAUSE
-            } else {
-                Duration::ZERO
-            };
-            self.stage = FailoverStage::Idle {
-                next_attempt_at: cx.now + pause,
-            };
-            self.doubt.on_leads(id, true);
-            self.earlier_orders_void = true;
-            self.ordered_to_lead.clear();
-            for member in self.members.values_mut() {
-                member.on_promotion(cx.now);
-            }
+        if self.order_took_effect(id, reply.status.term) {
+            self.end_attempt_by_primary(cx, id);
         }
         self.end_attempt_if_settled_by(id, cx.now);
         if !is_known_primary {
