spread: keep the time of the first lacking version when many come

VersionTimes dropped the oldest version with its time, so for a host that lacks more versions than are kept the time since which it lacks one moved with each change. At 1024 kept versions that takes over a thousand changes a second, at the 64 of a host's own reports 64 a second; it was not seen.

Change: the oldest kept version takes over the time of those before it.

--- a/crates/decide/src/spread/version_times.rs
+++ b/crates/decide/src/spread/version_times.rs
@@ -14,14 +14,18 @@
 impl VersionTimes {
     /// Records a version that became known at `at`, unless it is no higher than the last one.
     ///
-    /// At most `limit` versions are kept, the newest ones.
+    /// At most `limit` versions are kept, the newest ones. The oldest of them takes over the moment of
+    /// those before it, which must not move while versions go on to come.
     pub fn record(&mut self, version: ConfigVersion, at: Instant, limit: usize) {
         if self.newest() >= Some(version) {
             return;
         }
         self.times.push_back((version, at));
         while self.times.len() > limit.max(1) {
-            self.times.pop_front();
+            let dropped = self.times.pop_front();
+            if let (Some((_, first_at)), Some(oldest)) = (dropped, self.times.front_mut()) {
+                oldest.1 = first_at;
+            }
         }
     }
 
--- a/crates/decide/tests/spread_net/fleet.rs
+++ b/crates/decide/tests/spread_net/fleet.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 
 use decide::spread::Fact;
-use model::{Announcement, Config, HostId, UpstreamId};
+use model::{Announcement, Config, HostId, HostInfo, PartId, UpstreamId};
 use rand::seq::IndexedRandom;
 
-use super::{Net, Traffic};
+use super::{Net, Traffic, host_name};
 
 impl Net {
     /// Commits and confirms a configuration on the voters of the quorum.
@@ -184,3 +184,24 @@
         leaving: false,
     }
 }
+
+/// Returns the attributes of a host; the first ones of three data centres are control hosts.
+pub(super) fn host_info(number: usize, data_centres: usize) -> HostInfo {
+    let data_centre = number % data_centres;
+    let index = number / data_centres;
+    let parts: PartId = 2;
+    HostInfo {
+        host: host_name(data_centre, index),
+        data_centre: format!("dc{data_centre}").into(),
+        peer_addr: (
+            [10, data_centre as u8, (index >> 8) as u8, index as u8],
+            7000,
+        )
+            .into(),
+        incarnation: 1_700_000_000_000,
+        traffic_parts: parts,
+        is_entry_host: true,
+        is_control_host: index == 0 && data_centre < 3,
+        leaving: false,
+    }
+}
