soak: suspend whole data centres, and start all entry hosts at once

The trouble `many-hosts` suspends all hosts of a data centre, or kills all entry hosts, which start at the same moment, while the configuration changes in series and each change is asked for on every entry host after its bound.

--- a/crates/carawayd/tests/platform_soak.rs
+++ b/crates/carawayd/tests/platform_soak.rs
@@ -138,6 +138,13 @@
     soak(&[Trouble::Changes, Trouble::Hosts], &[CI_SEED], 8).await;
 }
 
+/// Guards against hosts that miss changes after all entry hosts have started at once, or after a
+/// whole data centre was suspended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn each_change_is_in_force_in_time_after_full_start_ups() {
+    soak_fleet(6, &[Trouble::Changes, Trouble::ManyHosts], &[CI_SEED], 10).await;
+}
+
 /// Runs the kinds of `SOAK_TROUBLES`, and nothing if it isn't set.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn chosen() {
