--- a/crates/decide/src/authority/order_doubt.rs
+++ b/crates/decide/src/authority/order_doubt.rs
@@ -197,7 +197,7 @@
     }
 
     /// Ends the attempt whose order has taken effect: no other order may be carried out any more.
-    pub(crate) fn end_attempt_by_primary(&mut self, cx: &Cx<'_>, leader: &UpstreamId) {
+    pub(crate) fn finish_attempt(&mut self, cx: &Cx<'_>, leader: &UpstreamId) {
         let pause = if self.drains(leader) {
             DRAINING_PRIMARY_PAUSE
         } else {
--- a/crates/decide/src/authority/service.rs
+++ b/crates/decide/src/authority/service.rs
@@ -293,7 +293,7 @@
         self.has_demoted_primary = false;
         self.ack_stops.on_primary_confirmed();
         if self.order_took_effect(id, reply.status.term) {
-            self.end_attempt_by_primary(cx, id);
+            self.finish_attempt(cx, id);
         }
         self.end_attempt_if_settled_by(id, cx.now);
         if !is_known_primary {
