raft: reads and commits no longer put off a leader's heartbeat tick

Each confirmation round renewed next_heartbeat_at, and each read and each commit starts a round. While they come more often than heartbeats (50 ms), the tick never ran that drops calls which were given up and ends a leader without a quorum: a leader that is cut off with callers led on for as long as they read, and kept their calls.

Change: only the tick itself sets its next time. Rounds in between are as before; a busy leader sends at most one more heartbeat per interval.

--- a/crates/decide/src/raft/election.rs
+++ b/crates/decide/src/raft/election.rs
@@ -229,7 +229,8 @@
         let term = self.hard_state.term;
         let members = self.membership.members();
         let members = members.filter(|member| **member != self.me).cloned();
-        let leader = LeaderState::new(members, last_entry.index, cx.now);
+        let heartbeat = cx.settings.raft.heartbeat;
+        let leader = LeaderState::new(members, last_entry.index, cx.now, heartbeat);
         self.role = RaftRole::Leader(Box::new(leader));
         cx.log(RaftLogEvent::Leading {
             term,
--- a/crates/decide/src/raft/leader.rs
+++ b/crates/decide/src/raft/leader.rs
@@ -27,7 +27,9 @@
 pub(crate) struct LeaderState {
     /// Replication progress of each other member.
     pub(crate) peers: BTreeMap<Member, PeerProgress>,
-    /// When the next confirmation round, which is also a heartbeat, starts at the latest.
+    /// When the next regular confirmation round starts, which is also a heartbeat.
+    ///
+    /// The rounds of reads and commits don't put it off: it also ends a leader without a quorum.
     pub(crate) next_heartbeat_at: Instant,
     /// When this member became leader.
     pub(crate) elected_at: Instant,
@@ -148,12 +150,13 @@
         members: impl Iterator<Item = Member>,
         last_index: LogIndex,
         now: Instant,
+        heartbeat: Duration,
     ) -> Self {
         Self {
             peers: members
                 .map(|member| (member, PeerProgress::new(last_index)))
                 .collect(),
-            next_heartbeat_at: now,
+            next_heartbeat_at: now + heartbeat,
             elected_at: now,
             noop_index: last_index + 1,
             newest_round: 0,
@@ -194,6 +197,7 @@
         if cx.now > leader.confirmed_round.1 + cx.settings.raft.election_max {
             return self.step_down(cx, "no quorum");
         }
+        leader.next_heartbeat_at = cx.now + cx.settings.raft.heartbeat;
         self.drop_expired_calls(cx);
         self.propose_membership_change(cx);
         self.broadcast_new_round(cx);
@@ -204,7 +208,6 @@
         let RaftRole::Leader(leader) = &mut self.role else {
             return;
         };
-        leader.next_heartbeat_at = cx.now + cx.settings.raft.heartbeat;
         leader.start_round(cx.now);
         self.replicate(cx);
         self.confirm_answered_rounds(cx);
--- a/crates/decide/tests/raft/partition.rs
+++ b/crates/decide/tests/raft/partition.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use decide::call::Call;
 use decide::raft::{AppendEntries, EntryId, Envelope, MemberMsg, Raft, RaftMsg};
 use decide::{Event, Msg};
 use model::{CONTROL_PART, HostId, PartAddr};
@@ -29,6 +30,21 @@
     assert!(!raft.is_some_and(Raft::is_leader));
 }
 
+/// Guards against a cut-off leader that leads on, and keeps calls that were given up, for as long as
+/// reads come more often than its heartbeats.
+#[test]
+fn a_leader_without_a_quorum_steps_down_although_reads_go_on() {
+    let (mut sim, old, _) = start_with_patch(1, &["a", "b", "c"]);
+    sim.isolate(&old);
+    let steps_down_by = sim.now + sim.settings.raft.election_max + sim.settings.raft.heartbeat * 2;
+    while sim.now < steps_down_by {
+        sim.call(&old, Call::Config);
+        sim.run_for(sim.settings.raft.heartbeat / 3);
+    }
+    let raft = sim.hosts[&old].raft.as_ref();
+    assert!(!raft.is_some_and(Raft::is_leader));
+}
+
 #[test]
 fn a_voter_that_was_cut_off_comes_back_without_an_election() {
     for seed in 0..20 {
