--- a/crates/decide/tests/authority_orders.rs
+++ b/crates/decide/tests/authority_orders.rs
@@ -166,20 +166,19 @@
     assert_eq!(world.orders.len(), 1);
 }
 
-/// Guards against a service that acknowledges nothing for 20 s: its primary was lost between the
-/// report that it leads and the answer to the order for it, and the order counted as one that may
-/// still take effect.
-#[test]
-fn an_order_whose_instance_was_seen_to_lead_before_the_answer_is_not_in_doubt() {
+/// Loses the primary while the platform is silent, promotes its successor once `orders` orders were
+/// given, and loses that too before the newest order is answered; runs 6 s on.
+fn lose_successor_before_the_answer(orders: usize) -> World {
     let mut world = World::new();
     world.run(Duration::from_secs(4));
     world.platform_answers = false;
     world.instances.get_mut("a").unwrap().cut_off();
-    while world.orders.is_empty() {
+    while world.orders.len() < orders {
         world.run(Duration::from_millis(100));
     }
-    let order = world.orders[0].clone();
+    let order = world.orders[orders - 1].clone();
     let lost = order.upstream.clone();
+    assert!(world.orders.iter().all(|order| order.upstream == lost));
     world.promote(&lost);
     world.run(Duration::from_secs(1));
     assert_eq!(world.primary, Some((2, lost.clone())));
@@ -190,6 +189,15 @@
     world.pending_replies.push_back(answer);
     world.platform_answers = true;
     world.run(Duration::from_secs(6));
+    world
+}
+
+/// Guards against a service that acknowledges nothing for 20 s: its primary was lost between the
+/// report that it leads and the answer to the order for it, and the order counted as one that may
+/// still take effect.
+#[test]
+fn an_order_whose_instance_was_seen_to_lead_before_the_answer_is_not_in_doubt() {
+    let mut world = lose_successor_before_the_answer(1);
     let (term, successor) = world.primary.clone().unwrap();
     assert_eq!(term, 3, "{successor} leads");
     assert!(!acks_are_stopped(&mut world));
@@ -200,25 +208,6 @@
 /// effect of the outstanding one, which may be carried out after the instance has been replaced.
 #[test]
 fn an_order_stays_in_doubt_if_an_earlier_one_may_have_made_its_instance_lead() {
-    let mut world = World::new();
-    world.run(Duration::from_secs(4));
-    world.platform_answers = false;
-    world.instances.get_mut("a").unwrap().cut_off();
-    while world.orders.len() < 2 {
-        world.run(Duration::from_millis(100));
-    }
-    assert_eq!(world.orders[0].upstream, world.orders[1].upstream);
-    let order = world.orders[1].clone();
-    let lost = order.upstream.clone();
-    world.promote(&lost);
-    world.run(Duration::from_secs(1));
-    assert_eq!(world.primary, Some((2, lost.clone())));
-    world.change(&lost, Instance::cut_off);
-    world.change(&"a".into(), |instance| instance.query_error = None);
-    let result = Ok(());
-    let answer = Event::PromotionAnswered { order, result };
-    world.pending_replies.push_back(answer);
-    world.platform_answers = true;
-    world.run(Duration::from_secs(6));
+    let mut world = lose_successor_before_the_answer(2);
     assert!(acks_are_stopped(&mut world));
 }
